--- /dev/null
+++ b/crates/controller/src/clients.rs
@@ -0,0 +1,233 @@
+//! Calls to the outside: the state service, the cloud, workers and peers. Every call has time
+//! limits, and whatever goes wrong becomes an answer that the core can deal with.
+
+use rudderreel_core::{CloudAnswer, CloudCall, DirectOutcome, StateAnswer, StateCall, Value};
+use rudderreel_wire::ids::Version;
+use rudderreel_wire::peer::{Forward, Heartbeat, HeartbeatReply};
+use rudderreel_wire::state::{Committed, Events, Item, Lease, LeaseRequest, Page};
+use rudderreel_wire::worker::DirectCommands;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use ureq::Agent;
+
+/// Keys asked for in one page.
+const PAGE: u32 = 200;
+/// The longest answer that is read.
+const MAX_ANSWER: u64 = 4 << 20;
+/// Watches wait so long for a change.
+const WATCH_MS: u64 = 10_000;
+
+/// An HTTP client with limits for connecting and for the whole call.
+pub fn agent(connect_ms: u64, whole_ms: u64) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_connect(Some(Duration::from_millis(connect_ms)))
+        .timeout_global(Some(Duration::from_millis(whole_ms)))
+        .max_idle_connections(64)
+        .max_idle_connections_per_host(8)
+        .build()
+        .into()
+}
+
+/// What came back, if anything usable did.
+enum Reply {
+    Status(u16, Vec<u8>),
+    NotSent,
+    Nothing,
+}
+
+fn finish(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Reply {
+    match result {
+        Ok(mut response) => {
+            let status = response.status().as_u16();
+            let body = response
+                .body_mut()
+                .with_config()
+                .limit(MAX_ANSWER)
+                .read_to_vec();
+            body.map_or(Reply::Nothing, |bytes| Reply::Status(status, bytes))
+        }
+        Err(ureq::Error::ConnectionFailed | ureq::Error::HostNotFound) => Reply::NotSent,
+        Err(ureq::Error::Timeout(ureq::Timeout::Connect)) => Reply::NotSent,
+        Err(ureq::Error::Io(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Reply::NotSent
+        }
+        Err(_) => Reply::Nothing,
+    }
+}
+
+fn get(agent: &Agent, url: &str) -> Reply {
+    finish(agent.get(url).call())
+}
+
+fn post(agent: &Agent, url: &str, body: &[u8]) -> Reply {
+    let request = agent.post(url).header("Content-Type", "application/json");
+    finish(request.send(body))
+}
+
+fn post_json<T: serde::Serialize>(agent: &Agent, url: &str, body: &T) -> Reply {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => post(agent, url, &bytes),
+        Err(_) => Reply::NotSent,
+    }
+}
+
+fn parsed<T: DeserializeOwned, A>(bytes: &[u8], unknown: A, answer: impl Fn(T) -> A) -> A {
+    match serde_json::from_slice(bytes) {
+        Ok(value) => answer(value),
+        Err(e) => {
+            log::warn!("an unreadable answer: {e}");
+            unknown
+        }
+    }
+}
+
+/// Calls the state service.
+pub fn call_state(agent: &Agent, addr: SocketAddrV4, call: &StateCall) -> StateAnswer {
+    let reply = match call {
+        StateCall::Get(key) => get(agent, &format!("http://{addr}/keys/{key}")),
+        StateCall::List(prefix, after) => {
+            let after = after
+                .as_ref()
+                .map(|k| format!("&after={k}"))
+                .unwrap_or_default();
+            let url = format!("http://{addr}/keys?prefix={prefix}{after}&most={PAGE}");
+            get(agent, &url)
+        }
+        StateCall::Commit(transaction) => {
+            post_json(agent, &format!("http://{addr}/commit"), transaction)
+        }
+        StateCall::NewLease(ttl_ms) => {
+            let body = LeaseRequest { ttl_ms: *ttl_ms };
+            post_json(agent, &format!("http://{addr}/holds"), &body)
+        }
+        StateCall::Renew(id) => post(agent, &format!("http://{addr}/holds/{id}/renew"), b"{}"),
+        StateCall::EndLease(id) => {
+            finish(agent.delete(&format!("http://{addr}/holds/{id}")).call())
+        }
+    };
+    match reply {
+        Reply::Status(status, body) => state_answer(call, status, &body),
+        // Nothing was sent, so nothing can have been executed.
+        Reply::NotSent => StateAnswer::Refused,
+        Reply::Nothing => StateAnswer::Unknown,
+    }
+}
+
+fn state_answer(call: &StateCall, status: u16, body: &[u8]) -> StateAnswer {
+    match (status, call) {
+        (200, StateCall::Get(_)) => parsed(body, StateAnswer::Unknown, |i: Item<Value>| {
+            StateAnswer::Found(i)
+        }),
+        (200, StateCall::List(..)) => parsed(body, StateAnswer::Unknown, |p: Page<Value>| {
+            StateAnswer::Page(p)
+        }),
+        (200, StateCall::Commit(_)) => parsed(body, StateAnswer::Unknown, |c: Committed| {
+            StateAnswer::Committed(c.revision)
+        }),
+        (200, StateCall::NewLease(_)) => parsed(body, StateAnswer::Unknown, |l: Lease| {
+            StateAnswer::Lease(l.lease)
+        }),
+        (200..=204, StateCall::Renew(_) | StateCall::EndLease(_)) => StateAnswer::Done,
+        (404, _) => StateAnswer::Missing,
+        (409, _) => parsed(body, StateAnswer::Unknown, |c: Committed| {
+            StateAnswer::Conflict(c.failed)
+        }),
+        (400, StateCall::Commit(_)) => {
+            log::warn!("the state service says {}", String::from_utf8_lossy(body));
+            StateAnswer::NoSuchLease
+        }
+        _ => StateAnswer::Refused,
+    }
+}
+
+/// What a watch came back with.
+pub enum Watched {
+    /// Changes, perhaps none.
+    Events(Events<Value>),
+    /// The place is lost.
+    Lost,
+    /// No answer.
+    Failed,
+}
+
+/// Waits for changes after a revision.
+pub fn watch(agent: &Agent, addr: SocketAddrV4, prefix: &str, after: Version) -> Watched {
+    let url = format!("http://{addr}/changes?prefix={prefix}&after={after}&blockMs={WATCH_MS}");
+    match get(agent, &url) {
+        Reply::Status(200, body) => parsed(&body, Watched::Failed, Watched::Events),
+        Reply::Status(410, _) => Watched::Lost,
+        _ => Watched::Failed,
+    }
+}
+
+/// Calls the cloud.
+pub fn call_cloud(agent: &Agent, addr: SocketAddrV4, call: &CloudCall) -> CloudAnswer {
+    let reply = match call {
+        CloudCall::Catalog => get(agent, &format!("http://{addr}/catalog")),
+        CloudCall::Rent(rent) => post_json(agent, &format!("http://{addr}/rentals"), rent),
+        CloudCall::Return(names) => {
+            post_json(agent, &format!("http://{addr}/rentals/return"), names)
+        }
+        CloudCall::List(after) => {
+            let after = after
+                .as_ref()
+                .map(|m| format!("after={m}&"))
+                .unwrap_or_default();
+            get(agent, &format!("http://{addr}/rentals?{after}most=500"))
+        }
+    };
+    let Reply::Status(status, body) = reply else {
+        return CloudAnswer::Unknown;
+    };
+    match (status, call) {
+        (200, CloudCall::Catalog) => parsed(&body, CloudAnswer::Unknown, CloudAnswer::Catalog),
+        (200, CloudCall::Rent(_)) => parsed(&body, CloudAnswer::Unknown, CloudAnswer::Rented),
+        (200..=204, CloudCall::Return(_)) => CloudAnswer::Returned,
+        (200, CloudCall::List(_)) => parsed(&body, CloudAnswer::Unknown, CloudAnswer::Page),
+        (503, CloudCall::Rent(_)) if is_full(&body) => CloudAnswer::NoCapacity,
+        (400, _) => CloudAnswer::Rejected,
+        _ => CloudAnswer::Refused,
+    }
+}
+
+fn is_full(body: &[u8]) -> bool {
+    let value: Option<Value> = serde_json::from_slice(body).ok();
+    value.is_some_and(|v| v["error"] == "no capacity")
+}
+
+/// Sends commands to a worker.
+pub fn call_worker(agent: &Agent, addr: &str, body: &DirectCommands) -> DirectOutcome {
+    match post_json(agent, &format!("http://{addr}/orders"), body) {
+        Reply::Status(200, bytes) => parsed(&bytes, DirectOutcome::Unknown, |report| {
+            DirectOutcome::Executed(Box::new(report))
+        }),
+        Reply::Status(409, bytes) => {
+            DirectOutcome::Rejected(serde_json::from_slice(&bytes).ok().map(Box::new))
+        }
+        Reply::Status(400, _) => DirectOutcome::Rejected(None),
+        Reply::NotSent => DirectOutcome::NotSent,
+        _ => DirectOutcome::Unknown,
+    }
+}
+
+/// Sends a heartbeat to a peer.
+pub fn heartbeat(agent: &Agent, addr: SocketAddrV4, beat: &Heartbeat) -> Option<HeartbeatReply> {
+    let url = format!("http://{addr}/peer/heartbeat");
+    match post(agent, &url, &bitcode::encode(beat)) {
+        Reply::Status(200, bytes) => bitcode::decode(&bytes).ok(),
+        _ => None,
+    }
+}
+
+/// Forwards a user's request to a peer.
+pub fn forward(agent: &Agent, addr: SocketAddrV4, request: &Forward) -> Option<(u16, String)> {
+    let url = format!("http://{addr}/peer/forward");
+    match post(agent, &url, &bitcode::encode(request)) {
+        Reply::Status(status, bytes) => Some((status, String::from_utf8(bytes).ok()?)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/controller/src/logs.rs
@@ -0,0 +1,42 @@
+//! Logs to standard error, one line each, in the amount that `LOG_LEVEL` gives.
+
+use log::{LevelFilter, Log, Metadata, Record};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+struct Lines;
+
+impl Log for Lines {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.target().starts_with("rudderreel")
+    }
+
+    fn log(&self, record: &Record) {
+        if self.enabled(record.metadata()) {
+            let now = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            let target = record.target().trim_start_matches("rudderreel_core::");
+            eprintln!(
+                "{}.{:03} {} {}: {}",
+                now.as_secs(),
+                now.subsec_millis(),
+                record.level(),
+                target,
+                record.args()
+            );
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Starts logging. Without `LOG_LEVEL`, or if it is not understood, the level is `info`.
+pub fn start() {
+    let level = std::env::var("LOG_LEVEL")
+        .ok()
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(LevelFilter::Info);
+    if log::set_logger(&Lines).is_ok() {
+        log::set_max_level(level);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/shell.rs
@@ -0,0 +1,311 @@
+//! Threads and channels round the core. All channels are bounded. Inputs from outside that find
+//! the core's channel full are refused (users) or dropped (they come again); answers to the
+//! core's own calls wait for room.
+
+use crate::clients::{self, Watched};
+use crate::front::{self, Open};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use rudderreel_core::units::{Now, Time, Wall};
+use rudderreel_core::{CallId, CloudCall, Core, DirectOutcome, Input, Output, ReqId, StateCall};
+use rudderreel_wire::ids::{MachineId, NodeName, Version};
+use rudderreel_wire::peer::{Forward, Heartbeat};
+use rudderreel_wire::settings::Settings;
+use rudderreel_wire::worker::DirectCommands;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Inputs that may wait for the core.
+const INPUTS: usize = 1024;
+/// Calls that may wait for a client thread.
+const CALLS: usize = 256;
+/// How often the core looks at the clock.
+const TICK: Duration = Duration::from_millis(20);
+/// Threads for calls, by whom they go to.
+const STATE_THREADS: usize = 8;
+const CLOUD_THREADS: usize = 3;
+const WORKER_THREADS: usize = 8;
+/// Pause between watches, so that a busy time does not use up the state service's limit.
+const WATCH_PAUSE: Duration = Duration::from_millis(25);
+/// Stack of a thread.
+const STACK: usize = 128 * 1024;
+
+/// The steady clock and the time of day.
+#[derive(Clone, Copy)]
+struct Clock(Instant);
+
+impl Clock {
+    fn time(&self) -> Time {
+        // The clock starts above zero, so that moments in the past can be written.
+        Time(self.0.elapsed().as_millis() as u64 + 1_000_000)
+    }
+
+    fn now(&self) -> Now {
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Now {
+            time: self.time(),
+            wall: Wall(wall.as_millis() as u64),
+        }
+    }
+}
+
+enum WorkerJob {
+    Direct(MachineId, String, DirectCommands),
+}
+
+enum PeerJob {
+    Beat(Heartbeat),
+    Forward(ReqId, Forward),
+}
+
+/// Where the core's outputs go.
+struct Wires {
+    open: Open,
+    state: Sender<(CallId, StateCall)>,
+    watch: Sender<Version>,
+    cloud: Sender<(CallId, CloudCall)>,
+    workers: Sender<WorkerJob>,
+    peers: BTreeMap<NodeName, (Sender<PeerJob>, Sender<PeerJob>)>,
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let thread = thread::Builder::new().name(name.into()).stack_size(STACK);
+    thread
+        .spawn(work)
+        .map(|_| ())
+        .map_err(|e| format!("thread {name}: {e}"))
+}
+
+/// Runs a node until it is killed.
+pub fn run(settings: Settings) -> Result<(), String> {
+    let clock = Clock(Instant::now());
+    let (core_in, inputs) = bounded(INPUTS);
+    let open = Open::default();
+    let front = front::listen(settings.listen)?;
+    let peers = front::listen(settings.peer_listen)?;
+    let wires = start_clients(&settings, clock, &core_in, open.clone())?;
+    let (o, c) = (open.clone(), core_in.clone());
+    spawn("front", move || front::serve_front(&front, &o, &c))?;
+    let (o, c) = (open, core_in);
+    spawn("peers", move || front::serve_peers(&peers, &o, &c))?;
+    log::info!("node {} serves at {}", settings.node, settings.listen);
+    turn(Core::new(settings), &inputs, &wires, clock);
+    Ok(())
+}
+
+fn turn(mut core: Core, inputs: &Receiver<Input>, wires: &Wires, clock: Clock) {
+    let mut next_tick = Instant::now();
+    loop {
+        let wait = next_tick.saturating_duration_since(Instant::now());
+        let input = if wait.is_zero() {
+            next_tick = Instant::now() + TICK;
+            Input::Tick
+        } else {
+            match inputs.recv_timeout(wait) {
+                Ok(input) => input,
+                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        };
+        for output in core.step(input, clock.now()) {
+            wires.send(output);
+        }
+    }
+}
+
+impl Wires {
+    fn send(&self, output: Output) {
+        let full = match output {
+            Output::Answer {
+                req,
+                status,
+                body,
+                retry_after,
+            } => {
+                self.open.answer(req, status, body, retry_after);
+                false
+            }
+            Output::AnswerHeartbeat(req, reply) => {
+                self.open.answer_bytes(req, bitcode::encode(&reply));
+                false
+            }
+            Output::State(id, call) => self.state.try_send((id, call)).is_err(),
+            Output::Watch(after) => self.watch.try_send(after).is_err(),
+            Output::Cloud(id, call) => self.cloud.try_send((id, call)).is_err(),
+            Output::Direct {
+                machine,
+                addr,
+                body,
+            } => (self
+                .workers
+                .try_send(WorkerJob::Direct(machine, addr, body)))
+            .is_err(),
+            Output::Heartbeat(beat) => {
+                for (beats, _) in self.peers.values() {
+                    // A peer that is still busy with the last one gets the next.
+                    let _ = beats.try_send(PeerJob::Beat(beat.clone()));
+                }
+                false
+            }
+            Output::Forward(peer, req, request) => match self.peers.get(&peer) {
+                Some((_, forwards)) => {
+                    let full = forwards.try_send(PeerJob::Forward(req, request)).is_err();
+                    if full {
+                        let body = "{\"error\":\"overloaded\"}".into();
+                        self.open.answer(req, 503, body, Some(1));
+                    }
+                    full
+                }
+                None => true,
+            },
+        };
+        if full {
+            log::warn!("a call was dropped: too many wait");
+        }
+    }
+}
+
+fn start_clients(
+    settings: &Settings,
+    clock: Clock,
+    core: &Sender<Input>,
+    open: Open,
+) -> Result<Wires, String> {
+    let state = start_state(settings.services.state, clock, core)?;
+    let watch = start_watch(settings.services.state, core)?;
+    let cloud = start_cloud(settings.services.cloud, core)?;
+    let workers = start_workers(core)?;
+    let mut peers = BTreeMap::new();
+    for peer in &settings.peers {
+        let beats = start_peer(peer.addr, clock, core, 1, 1)?;
+        let forwards = start_peer(peer.addr, clock, core, 2, 32)?;
+        peers.insert(peer.node.clone(), (beats, forwards));
+    }
+    Ok(Wires {
+        open,
+        state,
+        watch,
+        cloud,
+        workers,
+        peers,
+    })
+}
+
+fn start_state(
+    addr: SocketAddrV4,
+    clock: Clock,
+    core: &Sender<Input>,
+) -> Result<Sender<(CallId, StateCall)>, String> {
+    let (calls, queue) = bounded::<(CallId, StateCall)>(CALLS);
+    let agent = clients::agent(400, 1_200);
+    for i in 0..STATE_THREADS {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("state-{i}"), move || {
+            for (id, call) in queue {
+                let sent = clock.time();
+                let answer = clients::call_state(&agent, addr, &call);
+                if core.send(Input::State(id, sent, answer)).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(calls)
+}
+
+fn start_watch(addr: SocketAddrV4, core: &Sender<Input>) -> Result<Sender<Version>, String> {
+    let (starts, queue) = bounded::<Version>(4);
+    let agent = clients::agent(400, 12_000);
+    let core = core.clone();
+    spawn("watch", move || {
+        for mut after in queue {
+            let input = loop {
+                match clients::watch(&agent, addr, "pub/", after) {
+                    Watched::Events(e) if e.events.is_empty() => after = e.revision.max(after),
+                    Watched::Events(e) => break Input::Watched(e.revision, e.events),
+                    Watched::Lost => break Input::WatchLost,
+                    Watched::Failed => thread::sleep(Duration::from_millis(300)),
+                }
+            };
+            thread::sleep(WATCH_PAUSE);
+            if core.send(input).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(starts)
+}
+
+fn start_cloud(
+    addr: SocketAddrV4,
+    core: &Sender<Input>,
+) -> Result<Sender<(CallId, CloudCall)>, String> {
+    let (calls, queue) = bounded::<(CallId, CloudCall)>(CALLS);
+    let agent = clients::agent(1_000, 4_000);
+    for i in 0..CLOUD_THREADS {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("cloud-{i}"), move || {
+            for (id, call) in queue {
+                let answer = clients::call_cloud(&agent, addr, &call);
+                if core.send(Input::Cloud(id, answer)).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(calls)
+}
+
+fn start_workers(core: &Sender<Input>) -> Result<Sender<WorkerJob>, String> {
+    let (jobs, queue) = bounded::<WorkerJob>(CALLS);
+    let agent = clients::agent(400, 1_500);
+    for i in 0..WORKER_THREADS {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("worker-{i}"), move || {
+            for WorkerJob::Direct(machine, addr, body) in queue {
+                let outcome: DirectOutcome = clients::call_worker(&agent, &addr, &body);
+                if core.send(Input::Direct(machine, body, outcome)).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(jobs)
+}
+
+fn start_peer(
+    addr: SocketAddrV4,
+    clock: Clock,
+    core: &Sender<Input>,
+    threads: usize,
+    waiting: usize,
+) -> Result<Sender<PeerJob>, String> {
+    let (jobs, queue) = bounded::<PeerJob>(waiting);
+    let agent = clients::agent(300, 1_000);
+    for i in 0..threads {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("peer-{i}"), move || {
+            for job in queue {
+                let input = match job {
+                    PeerJob::Beat(beat) => {
+                        let sent = clock.time();
+                        match clients::heartbeat(&agent, addr, &beat) {
+                            Some(reply) => Input::HeartbeatReply(sent, reply),
+                            None => continue,
+                        }
+                    }
+                    PeerJob::Forward(req, request) => {
+                        Input::ForwardReply(req, clients::forward(&agent, addr, &request))
+                    }
+                };
+                if core.send(input).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(jobs)
+}
--- /dev/null
+++ b/crates/core/src/core.rs
@@ -0,0 +1,581 @@
+//! The whole of a node's state, and what happens on each input.
+
+use crate::capacity::CloudCalls;
+use crate::directory::Directory;
+use crate::election::{Election, Step, Verdict, WORD};
+use crate::io::{
+    json, show, CallId, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall, Value,
+};
+use crate::lead::{Lead, PERIOD};
+use crate::reads::{Reads, UserStep};
+use crate::records::{LEADER, SHARED};
+use crate::recovery::LeadStep;
+use crate::state_calls::{StateCalls, Urgency};
+use crate::tree::TeamTree;
+use crate::units::{Now, Span, Time};
+use rudderreel_wire::cloud::Catalog;
+use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version};
+use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply};
+use rudderreel_wire::settings::Settings;
+use rudderreel_wire::state::{Event, Page};
+use rudderreel_wire::worker::{DirectCommands, Report, ReportElsewhere, ReportReply};
+use std::collections::BTreeMap;
+
+/// What a call to the state service is for.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    Election(Step),
+    Fill(Option<Version>),
+    User(UserStep),
+    Lead(u64, LeadStep),
+    Catalog,
+}
+
+/// What is known of a peer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerView {
+    pub heard: Time,
+    pub state_ok: bool,
+    pub worker_silence: Span,
+}
+
+/// A node.
+pub struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) tree: TeamTree,
+    pub(crate) catalog: Option<Catalog>,
+    pub(crate) next_catalog_read: Time,
+    pub(crate) directory: Directory,
+    pub(crate) calls: StateCalls<Purpose>,
+    pub(crate) cloud: CloudCalls,
+    pub(crate) election: Election,
+    pub(crate) reads: Reads,
+    pub(crate) lead: Option<Lead>,
+    pub(crate) peers: BTreeMap<NodeName, PeerView>,
+    counts: BTreeMap<JobId, (u32, u32)>,
+    started: Option<Time>,
+    filling: bool,
+    next_beat: Time,
+    next_books: Time,
+    last_report: Option<Time>,
+    pub(crate) out: Vec<Output>,
+}
+
+/// How often nodes tell one another how they are.
+const BEAT: Span = Span(500);
+/// How often the leader looks through its books.
+const BOOKS: Span = Span(100);
+/// A leader that no worker reaches for so long, while workers reach others, steps down.
+const CUT_OFF: Span = Span(5_000);
+
+impl Core {
+    /// A node that has just started.
+    pub fn new(settings: Settings) -> Self {
+        let nodes = settings.params.nodes.max(1) as usize;
+        let mut names: Vec<&NodeName> = settings.peers.iter().map(|p| &p.node).collect();
+        names.push(&settings.node);
+        names.sort();
+        let rank = names.iter().position(|n| **n == settings.node).unwrap_or(0) as u64;
+        let peers = (settings.peers.iter())
+            .map(|p| (p.node.clone(), PeerView::default()))
+            .collect();
+        Self {
+            tree: TeamTree::from_limits(&settings.params.teams),
+            catalog: None,
+            next_catalog_read: Time(0),
+            directory: Directory::default(),
+            calls: StateCalls::new(settings.params.state.rps * 0.8 / nodes as f64),
+            cloud: CloudCalls::new(settings.params.cloud.rps * 0.8),
+            election: Election::new(settings.node.clone(), nodes, rank),
+            reads: Reads::default(),
+            lead: None,
+            peers,
+            counts: BTreeMap::new(),
+            started: None,
+            filling: false,
+            next_beat: Time(0),
+            next_books: Time(0),
+            last_report: None,
+            out: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes one input; returns what to send, write and answer.
+    pub fn step(&mut self, input: Input, now: Now) -> Vec<Output> {
+        if self.started.is_none() {
+            self.started = Some(now.time);
+            // It may have forgotten a word that it gave in an earlier life.
+            self.election.hold_off = now.time + WORD.with_drift();
+        }
+        match input {
+            Input::Tick => self.tick(now),
+            Input::User(req, request) => self.user(req, request, false, now),
+            Input::Forwarded(req, request) => self.user(req, request, true, now),
+            Input::Report(req, report) => self.report(req, *report, now),
+            Input::Health(req) => self.health(req, now),
+            Input::Overview(req) => self.overview(req, now),
+            Input::Heartbeat(req, beat) => self.heartbeat(req, beat, now),
+            Input::HeartbeatReply(sent, reply) => self.heartbeat_reply(sent, reply, now),
+            Input::ForwardReply(req, answer) => self.forward_answer(req, answer),
+            Input::State(id, sent, answer) => self.state_answer(id, sent, answer, now),
+            Input::Watched(revision, events) => self.watched(revision, events),
+            Input::WatchLost => self.fill(),
+            Input::Cloud(id, answer) => self.cloud_answer(id, answer, now),
+            Input::Direct(machine, body, outcome) => self.direct(machine, body, outcome, now),
+        }
+        self.calls.pump(now.time, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: Now) {
+        if self.started == Some(now.time) || (!self.directory.complete && !self.filling) {
+            self.fill();
+        }
+        let leader = self.directory.leader.as_ref().map(|(_, r)| r);
+        let mine = self.lead.as_ref().map(|l| l.lease_id);
+        let due = self.election.tick(now.time, leader, mine);
+        self.election_calls(due);
+        self.read_catalog(now);
+        self.confirm(now);
+        if now.time >= self.next_beat {
+            self.next_beat = now.time + BEAT;
+            self.beat(now);
+        }
+        self.lead_tick(now);
+    }
+
+    fn election_calls(&mut self, calls: Vec<(StateCall, Step)>) {
+        for (call, step) in calls {
+            self.calls
+                .call(Urgency::Lease, call, Purpose::Election(step));
+        }
+    }
+
+    // --- the state service ---
+
+    fn state_answer(&mut self, id: CallId, sent: Time, answer: StateAnswer, now: Now) {
+        self.election.note_state(now.time, &answer);
+        match self.calls.finish(id) {
+            Some(Purpose::Election(step)) => self.election_answer(step, sent, answer, now),
+            Some(Purpose::Fill(first)) => self.filled(first, answer),
+            Some(Purpose::User(step)) => self.user_answer(step, answer, now),
+            Some(Purpose::Lead(lead, step)) => {
+                if self.lead.as_ref().is_some_and(|l| l.epoch_id() == lead) {
+                    self.lead_answer(step, answer, now);
+                }
+            }
+            Some(Purpose::Catalog) => {
+                if let StateAnswer::Found(item) = answer {
+                    if self.catalog.is_none() {
+                        self.catalog = serde_json::from_value(item.value).ok();
+                    }
+                }
+            }
+            None => log::debug!("an answer that nobody waits for"),
+        }
+    }
+
+    fn election_answer(&mut self, step: Step, sent: Time, answer: StateAnswer, now: Now) {
+        if let (Step::Renew(lease), StateAnswer::Done, Some(lead)) =
+            (&step, &answer, self.lead.as_mut())
+        {
+            if lead.lease_id == *lease {
+                lead.renewed(sent);
+            }
+        }
+        let (verdict, calls) = self.election.answered(now.time, sent, step, answer);
+        self.election_calls(calls);
+        match verdict {
+            Verdict::Nothing => {}
+            Verdict::Leader(record) => {
+                let revision = record.as_ref().map_or(self.directory.leader_seen, |r| r.0);
+                if revision >= self.directory.leader_seen {
+                    self.directory.learn_leader(revision, record);
+                }
+            }
+            Verdict::Won(epoch, lease, since, version) => {
+                self.take_lead(epoch, lease, since, version, now)
+            }
+            Verdict::Lost => self.step_down("its lease has ended"),
+        }
+    }
+
+    fn take_lead(&mut self, epoch: Epoch, lease: LeaseId, sent: Time, version: Version, now: Now) {
+        log::info!("leading as {}", show(epoch));
+        let tree = self.tree.clone();
+        let mut lead = Lead::new(&self.settings, tree, epoch, lease, sent, version, now.time);
+        if let Some(catalog) = &self.catalog {
+            lead.learn_catalog(catalog.clone());
+        }
+        self.lead = Some(lead);
+        self.cloud.clear();
+        self.cloud.next_catalog = now.time;
+        self.next_beat = now.time;
+        self.read_back();
+    }
+
+    /// Stops leading.
+    pub(crate) fn step_down(&mut self, why: &str) {
+        if let Some(lead) = self.lead.take() {
+            log::info!("no longer leading as {}: {why}", show(lead.epoch));
+            let call = StateCall::EndLease(lead.lease_id);
+            self.election_calls(vec![(call, Step::End)]);
+            self.cloud.clear();
+            let gone =
+                (self.directory.leader.as_ref()).is_some_and(|(_, r)| r.lease == lead.lease_id);
+            if gone {
+                self.directory.leader = None;
+            }
+        }
+    }
+
+    /// Reads everything that is watched, from the start.
+    fn fill(&mut self) {
+        self.filling = true;
+        let call = StateCall::List(SHARED.into(), None);
+        self.calls.call(Urgency::User, call, Purpose::Fill(None));
+    }
+
+    fn filled(&mut self, first: Option<Version>, answer: StateAnswer) {
+        let StateAnswer::Page(page) = answer else {
+            self.filling = false;
+            return;
+        };
+        let first = first.unwrap_or(page.revision);
+        let last = page.items.last().map(|i| i.key.clone());
+        self.learn_page(&page, first);
+        if page.more && last.is_some() {
+            let call = StateCall::List(SHARED.into(), last);
+            let purpose = Purpose::Fill(Some(first));
+            self.calls.call(Urgency::User, call, purpose);
+            return;
+        }
+        self.filling = false;
+        self.directory.complete = true;
+        self.out.push(Output::Watch(first));
+    }
+
+    fn learn_page(&mut self, page: &Page<Value>, first: Version) {
+        let mut has_leader = false;
+        for item in &page.items {
+            has_leader |= item.key == LEADER;
+            self.directory.learn(&item.key, item.version, &item.value);
+        }
+        if !has_leader && !page.more && first >= self.directory.leader_seen {
+            self.directory.learn_leader(first, None);
+        }
+        self.hear_leader();
+    }
+
+    fn watched(&mut self, revision: Version, events: Vec<Event<Value>>) {
+        for event in &events {
+            self.directory.learn_event(event);
+        }
+        self.hear_leader();
+        self.out.push(Output::Watch(revision));
+    }
+
+    fn hear_leader(&mut self) {
+        if let Some((_, record)) = &self.directory.leader {
+            self.election.hear_epoch(record.epoch);
+        }
+    }
+
+    // --- workers ---
+
+    fn report(&mut self, req: ReqId, report: Report, now: Now) {
+        self.last_report = Some(now.time);
+        let state_ok = self.election.state_ok(now.time);
+        let majority = self.election.majority();
+        let Some(lead) = self.lead.as_mut() else {
+            return self.report_elsewhere(req);
+        };
+        if !lead.may_answer(now.time, state_ok, majority) {
+            return self.refuse(req, "leading is in doubt");
+        }
+        if report.token > lead.epoch || lead.returned.contains_key(&report.machine) {
+            // A higher token: another node leads. A machine that was returned is gone, so this is
+            // a late copy; to answer it would help nobody.
+            return self.refuse(req, "not entitled");
+        }
+        lead.hear(&report, now);
+        let id = report.machine;
+        if let Some(machine) = lead.machines.get_mut(&id) {
+            machine.last_answer = Some(now.time);
+        }
+        let newest =
+            (lead.machines.get(&id)).is_some_and(|m| m.newest == (report.session, report.seq));
+        let commands = if lead.ready && newest {
+            lead.commands(&id, now.time, false)
+        } else {
+            Vec::new()
+        };
+        let reply = ReportReply {
+            token: lead.epoch,
+            commands,
+        };
+        self.answer(req, 200, json(&reply));
+    }
+
+    fn report_elsewhere(&mut self, req: ReqId) {
+        let leader = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
+        let report_to = leader.filter(|node| *node != self.settings.node);
+        self.answer(req, 421, json(&ReportElsewhere { report_to }));
+    }
+
+    /// Sends waiting commands to a worker directly.
+    pub(crate) fn push_direct(&mut self, id: &MachineId, now: Now) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let Some(machine) = lead.machines.get(id) else {
+            return;
+        };
+        let Some(addr) = machine.addr.clone() else {
+            return;
+        };
+        if !lead.wants_direct(machine, now.time) {
+            return;
+        }
+        let session = machine.newest.0;
+        let commands = lead.commands(id, now.time, true);
+        if commands.is_empty() {
+            return;
+        }
+        if let Some(machine) = lead.machines.get_mut(id) {
+            machine.direct_open = true;
+            machine.direct_after = now.time + Span(200);
+        }
+        let body = DirectCommands {
+            token: lead.epoch,
+            session,
+            commands,
+        };
+        self.out.push(Output::Direct {
+            machine: id.clone(),
+            addr,
+            body,
+        });
+    }
+
+    fn direct(&mut self, id: MachineId, body: DirectCommands, outcome: DirectOutcome, now: Now) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let unsure = matches!(outcome, DirectOutcome::Unknown);
+        lead.direct_ended(&id, &body.commands, unsure);
+        match outcome {
+            DirectOutcome::Executed(report) => lead.hear(&report, now),
+            DirectOutcome::Rejected(Some(report)) => {
+                if report.token > lead.epoch {
+                    return log::warn!("{id} follows a higher token");
+                }
+                lead.hear(&report, now);
+            }
+            _ => {
+                if let Some(machine) = lead.machines.get_mut(&id) {
+                    machine.direct_after = now.time + Span(1_500);
+                }
+            }
+        }
+    }
+
+    // --- leading ---
+
+    fn lead_tick(&mut self, now: Now) {
+        let changed = std::mem::take(&mut self.directory.changed);
+        if self.lead.is_none() {
+            return;
+        }
+        self.learn_changed(changed, now);
+        self.cut_off(now);
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        if lead.ready && now.time >= self.next_books {
+            self.next_books = now.time + BOOKS;
+            lead.end_cancelled(now);
+            lead.drain(now.time);
+            lead.expire(now);
+            if lead.lease_valid(now.time) && now.time >= lead.next_cycle {
+                lead.next_cycle = now.time + PERIOD;
+                lead.cycle(now);
+            }
+        }
+        self.flush(now);
+        let Some(lead) = self.lead.as_ref() else {
+            return;
+        };
+        let waiting: Vec<MachineId> = (lead.machines.values())
+            .filter(|m| lead.wants_direct(m, now.time))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in waiting {
+            self.push_direct(&id, now);
+        }
+        self.cloud_tick(now);
+    }
+
+    fn learn_changed(&mut self, changed: Vec<JobId>, now: Now) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        for id in changed {
+            let Some(known) = self.directory.jobs.get_mut(&id) else {
+                continue;
+            };
+            lead.learn_job(&id, known.version, &known.record);
+            lead.wake(now.time);
+        }
+    }
+
+    /// A leader that no worker reaches makes way for one that they do reach.
+    fn cut_off(&mut self, now: Now) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let silence = |t: Time| now.time - t > CUT_OFF;
+        let mine = silence(lead.since) && self.last_report.is_none_or(silence);
+        let reached = self.peers.values().any(|p| {
+            now.time < p.heard + Span(1_500) && p.worker_silence < Span(2_000) && p.state_ok
+        });
+        if mine && reached && !lead.machines.is_empty() {
+            self.election.hold_off = now.time + Span(15_000);
+            self.step_down("workers do not reach this node");
+        }
+    }
+
+    // --- peers ---
+
+    fn beat(&mut self, now: Now) {
+        let counts = match &self.lead {
+            Some(lead) => {
+                let running = lead.running();
+                (lead.jobs.iter())
+                    .map(|(id, job)| Count {
+                        job: id.to_string(),
+                        done: job.done.len() as u32,
+                        running: running.get(id).copied().unwrap_or(0),
+                    })
+                    .collect()
+            }
+            None => Vec::new(),
+        };
+        if self.lead.is_some() {
+            self.learn_counts(&counts);
+        }
+        self.out.push(Output::Heartbeat(Heartbeat {
+            from: self.settings.node.to_string(),
+            epoch: self.lead.as_ref().map_or(self.election.epoch, |l| l.epoch),
+            leads: self.lead.is_some(),
+            state_ok: self.election.state_ok(now.time),
+            counts,
+        }));
+        self.note_fence(now.time);
+    }
+
+    fn learn_counts(&mut self, counts: &[Count]) {
+        self.counts = (counts.iter())
+            .filter_map(|c| Some((c.job.parse().ok()?, (c.done, c.running))))
+            .collect();
+    }
+
+    /// Tasks of a job that are done and that run, for display.
+    pub(crate) fn counts(&self, id: &JobId) -> (u32, u32) {
+        self.counts.get(id).copied().unwrap_or_default()
+    }
+
+    fn heartbeat(&mut self, req: ReqId, beat: Heartbeat, now: Now) {
+        self.note_peer(&beat.from, beat.state_ok, None, now.time);
+        let word = beat.leads && self.election.give_word(now.time, beat.epoch);
+        self.election.hear_epoch(beat.epoch);
+        if beat.leads && beat.epoch >= self.election.epoch {
+            self.learn_counts(&beat.counts);
+        }
+        self.check_epoch(beat.epoch);
+        let silence = self.last_report.map_or(Span(u64::MAX), |t| now.time - t);
+        let reply = HeartbeatReply {
+            from: self.settings.node.to_string(),
+            epoch: self.election.epoch,
+            state_ok: self.election.state_ok(now.time),
+            word,
+            worker_silence_ms: silence.0,
+        };
+        self.out.push(Output::AnswerHeartbeat(req, reply));
+    }
+
+    fn heartbeat_reply(&mut self, sent: Time, reply: HeartbeatReply, now: Now) {
+        let silence = Span(reply.worker_silence_ms);
+        self.note_peer(&reply.from, reply.state_ok, Some(silence), now.time);
+        self.election.hear_epoch(reply.epoch);
+        self.check_epoch(reply.epoch);
+        let name = NodeName::from(reply.from.as_str());
+        if let Some(lead) = self.lead.as_mut() {
+            if !self.peers.contains_key(&name) {
+                return;
+            }
+            if reply.word {
+                let at = lead.words.entry(name.clone()).or_insert(sent);
+                *at = (*at).max(sent);
+            }
+            if reply.epoch == lead.epoch {
+                lead.acks.insert(name);
+                self.note_fence(now.time);
+            }
+        }
+    }
+
+    /// A higher epoch than this leader's own means that another node leads.
+    fn check_epoch(&mut self, epoch: Epoch) {
+        let raising = self.lead.as_ref().is_some_and(|l| l.raised.1);
+        if !raising && self.lead.as_ref().is_some_and(|l| epoch > l.epoch) {
+            self.step_down("a higher epoch is known");
+        }
+    }
+
+    /// Once a majority has acknowledged the epoch, no older leader goes on for longer than a
+    /// word is good for.
+    fn note_fence(&mut self, now: Time) {
+        let majority = self.election.majority();
+        if let Some(lead) = self.lead.as_mut() {
+            if lead.fence.is_none() && lead.acks.len() + 1 >= majority {
+                lead.fence = Some(now + WORD.with_drift());
+            }
+        }
+    }
+
+    fn note_peer(&mut self, name: &str, state_ok: bool, silence: Option<Span>, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&NodeName::from(name)) {
+            peer.heard = now;
+            peer.state_ok = state_ok;
+            if let Some(silence) = silence {
+                peer.worker_silence = silence;
+            }
+        }
+    }
+
+    // --- health and overview ---
+
+    fn health(&mut self, req: ReqId, now: Now) {
+        let peer = (self.peers.values()).any(|p| p.state_ok && now.time < p.heard + Span(1_500));
+        if self.election.state_ok(now.time) || peer {
+            self.answer(req, 200, "{}".into());
+        } else {
+            self.refuse(req, "the state service does not answer");
+        }
+    }
+
+    fn overview(&mut self, req: ReqId, now: Now) {
+        let leader = self.directory.leader.as_ref().map(|(_, r)| r);
+        let body = serde_json::json!({
+            "node": self.settings.node,
+            "leader": leader.map(|r| &r.node),
+            "epoch": leader.map(|r| r.epoch),
+            "leads": self.lead.is_some(),
+            "state_ok": self.election.state_ok(now.time),
+            "jobs": self.directory.jobs.len(),
+        });
+        self.answer(req, 200, body.to_string());
+    }
+}
--- /dev/null
+++ b/crates/core/src/directory.rs
@@ -0,0 +1,90 @@
+//! This node's cache of jobs and of the leader's key, fed by one watch.
+//!
+//! What the cache says of a final state may be told at once. Anything else may be out of date
+//! and is confirmed with the state service first (see `reads`).
+
+use crate::io::Value;
+use crate::records::{JobRecord, LeaderRecord, JOBS, LEADER};
+use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::state::Event;
+use std::collections::BTreeMap;
+
+/// A cached job.
+#[derive(Clone, Debug)]
+pub struct KnownJob {
+    /// The version of its key.
+    pub version: Version,
+    /// The record.
+    pub record: JobRecord,
+}
+
+/// The cache.
+#[derive(Default)]
+pub struct Directory {
+    /// Jobs by id.
+    pub jobs: BTreeMap<JobId, KnownJob>,
+    /// The leader's key, with its version.
+    pub leader: Option<(Version, LeaderRecord)>,
+    /// The newest revision at which the leader's key is known.
+    pub leader_seen: Version,
+    /// Whether the first read is complete.
+    pub complete: bool,
+    /// Jobs that changed since the leader last looked.
+    pub changed: Vec<JobId>,
+}
+
+impl Directory {
+    /// Takes in a job's record if it is newer. A record never leaves a final state.
+    pub fn learn_job(&mut self, id: JobId, version: Version, record: JobRecord) {
+        if let Some(known) = self.jobs.get(&id) {
+            if known.version >= version {
+                return;
+            }
+        }
+        self.changed.push(id.clone());
+        self.jobs.insert(id, KnownJob { version, record });
+    }
+
+    /// Takes in the leader's key as read at a revision.
+    pub fn learn_leader(&mut self, revision: Version, record: Option<(Version, LeaderRecord)>) {
+        if revision >= self.leader_seen {
+            self.leader_seen = revision;
+            self.leader = record;
+        }
+    }
+
+    /// Takes in a key of the shared prefix.
+    pub fn learn(&mut self, key: &str, version: Version, value: &Value) {
+        if key == LEADER {
+            match LeaderRecord::deserialize_from(value) {
+                Some(record) => self.learn_leader(version, Some((version, record))),
+                None => log::error!("unreadable leader record"),
+            }
+        } else if let Some(id) = key.strip_prefix(JOBS).and_then(|id| id.parse().ok()) {
+            match serde_json::from_value(value.clone()) {
+                Ok(record) => self.learn_job(id, version, record),
+                Err(e) => log::error!("unreadable record {key}: {e}"),
+            }
+        }
+    }
+
+    /// Takes in an event of the watch.
+    pub fn learn_event(&mut self, event: &Event<Value>) {
+        match event {
+            Event::Put {
+                key,
+                value,
+                version,
+            } => self.learn(key, *version, value),
+            Event::Delete { key, version } if key == LEADER => self.learn_leader(*version, None),
+            Event::Delete { key, .. } => log::debug!("{key} was deleted"),
+        }
+    }
+}
+
+impl LeaderRecord {
+    /// Reads a record, if it is one.
+    pub fn deserialize_from(value: &Value) -> Option<Self> {
+        serde_json::from_value(value.clone()).ok()
+    }
+}
--- /dev/null
+++ b/crates/core/src/election.rs
@@ -0,0 +1,419 @@
+//! Who leads.
+//!
+//! The leader's key hangs on a lease of the state service; the epoch is raised in the commit that
+//! sets it, and is the token that workers see. A leader acts while its lease is surely alive by
+//! its own clock, counted from the *sending* of the renewal.
+//!
+//! In an outage of the state service nobody can renew, yet workers must not lose their leases.
+//! So a leader may go on answering them (but starts nothing) while a majority of the nodes,
+//! itself included, gives its word afresh: that the state service does not answer it either and
+//! that it knows of no higher epoch. A word is good for [`WORD`], counted from the sending of the
+//! heartbeat that asked for it. A node gives none before it has read the epoch since its own
+//! start, so what it said in an earlier life still binds it; none while a campaign of its own has
+//! an unknown outcome; and it does not campaign until its last word has run out.
+//!
+//! A new leader therefore knows that no older one answers workers any more once a majority has
+//! acknowledged its epoch and [`WORD`] has passed since: any two majorities share a node, and that
+//! node gave its last word before it acknowledged. That moment is the *fence*.
+
+use crate::io::{StateAnswer, StateCall, Value};
+use crate::records::{EpochRecord, LeaderRecord, EPOCH, LEADER};
+use crate::units::{Span, Time};
+use rudderreel_wire::ids::{Epoch, LeaseId, NodeName, Version};
+use rudderreel_wire::state::{Change, Condition, Transaction};
+
+/// How long a leader's lease lasts without a renewal.
+pub const LEASE: Span = Span(3_000);
+/// How long a word is good for.
+pub const WORD: Span = Span(1_500);
+/// How often the lease is renewed.
+const RENEW: Span = Span(750);
+/// How often a node looks at the leader's key.
+const LOOK: Span = Span(1_000);
+/// A node that heard nothing from the state service for so long counts it as silent.
+const SILENT: Span = Span(1_200);
+
+/// What a call of the election is for.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Read the leader's key.
+    Look,
+    /// Read the epoch.
+    ReadEpoch,
+    /// Take a lease.
+    TakeLease,
+    /// Set the leader's key.
+    Claim(LeaseId, Time, Epoch),
+    /// See whether a claim of unknown outcome was carried out.
+    Verify(LeaseId, Time, Epoch),
+    /// Renew the lease.
+    Renew(LeaseId),
+    /// End a lease; nothing hangs on the outcome.
+    End,
+}
+
+/// What the rest of the core must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Nothing.
+    Nothing,
+    /// The leader's key as read.
+    Leader(Option<(Version, LeaderRecord)>),
+    /// This node leads from now on.
+    Won(Epoch, LeaseId, Time, Version),
+    /// This node no longer leads.
+    Lost,
+}
+
+/// This node's part in the election.
+pub struct Election {
+    me: NodeName,
+    nodes: usize,
+    rank: u64,
+    /// The highest epoch known.
+    pub epoch: Epoch,
+    /// Whether the epoch was read since this process started.
+    epoch_read: bool,
+    epoch_version: Version,
+    last_ok: Option<Time>,
+    failing_since: Option<Time>,
+    word_until: Time,
+    /// No campaign before this moment.
+    pub hold_off: Time,
+    campaigning: bool,
+    claim_unsure: bool,
+    next_look: Time,
+    next_renew: Time,
+    renewing: bool,
+    vacant_since: Option<Time>,
+}
+
+impl Election {
+    /// `rank` spreads the campaigns of the nodes a little.
+    pub fn new(me: NodeName, nodes: usize, rank: u64) -> Self {
+        Self {
+            me,
+            nodes,
+            rank,
+            epoch: Epoch(0),
+            epoch_read: false,
+            epoch_version: Version(0),
+            last_ok: None,
+            failing_since: None,
+            word_until: Time(0),
+            hold_off: Time(0),
+            campaigning: false,
+            claim_unsure: false,
+            next_look: Time(0),
+            next_renew: Time(0),
+            renewing: false,
+            vacant_since: None,
+        }
+    }
+
+    /// Notes how any call to the state service ended.
+    pub fn note_state(&mut self, now: Time, answer: &StateAnswer) {
+        match answer {
+            StateAnswer::Refused | StateAnswer::Unknown => {
+                self.failing_since.get_or_insert(now);
+            }
+            _ => {
+                self.last_ok = Some(now);
+                self.failing_since = None;
+            }
+        }
+    }
+
+    /// Whether the state service answers this node, as far as it knows.
+    pub fn state_ok(&self, now: Time) -> bool {
+        match (self.last_ok, self.failing_since) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(ok), Some(_)) => now - ok < SILENT,
+        }
+    }
+
+    /// Learns of an epoch from a peer.
+    pub fn hear_epoch(&mut self, epoch: Epoch) {
+        self.epoch = self.epoch.max(epoch);
+    }
+
+    /// Whether this node gives its word to the leader of `epoch`; if so, it binds itself.
+    pub fn give_word(&mut self, now: Time, epoch: Epoch) -> bool {
+        let gives = self.epoch_read
+            && epoch >= self.epoch
+            && !self.campaigning
+            && !self.claim_unsure
+            && !self.state_ok(now);
+        if gives {
+            self.word_until = self.word_until.max(now + WORD.with_drift());
+        }
+        gives
+    }
+
+    /// How many nodes make a majority.
+    pub fn majority(&self) -> usize {
+        self.nodes / 2 + 1
+    }
+
+    /// Calls that are due. `leader` is the leader's key as cached, `mine` the lease held.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        leader: Option<&LeaderRecord>,
+        mine: Option<LeaseId>,
+    ) -> Vec<(StateCall, Step)> {
+        let mut calls = Vec::new();
+        if let Some(lease) = mine {
+            if now >= self.next_renew && !self.renewing {
+                self.next_renew = now + RENEW;
+                self.renewing = true;
+                calls.push((StateCall::Renew(lease), Step::Renew(lease)));
+            }
+            return calls;
+        }
+        if now >= self.next_look {
+            self.next_look = now + LOOK;
+            calls.push((StateCall::Get(LEADER.into()), Step::Look));
+        }
+        self.maybe_campaign(now, leader, &mut calls);
+        calls
+    }
+
+    fn maybe_campaign(
+        &mut self,
+        now: Time,
+        leader: Option<&LeaderRecord>,
+        calls: &mut Vec<(StateCall, Step)>,
+    ) {
+        if leader.is_some() {
+            self.vacant_since = None;
+            return;
+        }
+        let since = *self.vacant_since.get_or_insert(now);
+        let ready = now >= since + Span(60 * self.rank)
+            && now >= self.word_until
+            && now >= self.hold_off
+            && self.state_ok(now);
+        if ready && !self.campaigning {
+            self.campaigning = true;
+            calls.push((StateCall::Get(EPOCH.into()), Step::ReadEpoch));
+        }
+    }
+
+    /// Takes in the answer to a call. `key` is the leader's key as cached.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        sent: Time,
+        step: Step,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        match step {
+            Step::Look => self.looked(answer),
+            Step::ReadEpoch => self.epoch_was_read(now, answer),
+            Step::TakeLease => self.lease_taken(now, sent, answer),
+            Step::Claim(lease, since, epoch) => self.claimed(now, lease, since, epoch, answer),
+            Step::Verify(lease, since, epoch) => self.verified(now, lease, since, epoch, answer),
+            Step::Renew(_) => {
+                self.renewing = false;
+                match answer {
+                    StateAnswer::Missing | StateAnswer::NoSuchLease => (Verdict::Lost, vec![]),
+                    StateAnswer::Done => (Verdict::Nothing, vec![]),
+                    _ => {
+                        self.next_renew = now + Span(250);
+                        (Verdict::Nothing, vec![])
+                    }
+                }
+            }
+            Step::End => (Verdict::Nothing, vec![]),
+        }
+    }
+
+    fn looked(&mut self, answer: StateAnswer) -> (Verdict, Vec<(StateCall, Step)>) {
+        match answer {
+            StateAnswer::Found(item) => {
+                let record = LeaderRecord::deserialize_from(&item.value);
+                if let Some(record) = &record {
+                    self.hear_epoch(record.epoch);
+                    self.epoch_read = true;
+                }
+                let verdict = Verdict::Leader(record.clone().map(|r| (item.version, r)));
+                // A leader by this node's name on a lease that is not held here is what an
+                // earlier life of this process left behind: nobody acts for it any more.
+                match record {
+                    Some(r) if r.node == self.me && !self.claim_unsure && !self.campaigning => {
+                        (verdict, vec![(StateCall::EndLease(r.lease), Step::End)])
+                    }
+                    _ => (verdict, vec![]),
+                }
+            }
+            StateAnswer::Missing => (Verdict::Leader(None), vec![]),
+            _ => (Verdict::Nothing, vec![]),
+        }
+    }
+
+    fn epoch_was_read(
+        &mut self,
+        now: Time,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        match answer {
+            StateAnswer::Found(item) => {
+                if let Ok(record) = serde_json::from_value::<EpochRecord>(item.value) {
+                    self.hear_epoch(record.epoch);
+                }
+                self.epoch_version = item.version;
+            }
+            StateAnswer::Missing => self.epoch_version = Version(0),
+            _ => return self.give_up(now),
+        }
+        self.epoch_read = true;
+        let call = StateCall::NewLease(LEASE.0);
+        (Verdict::Nothing, vec![(call, Step::TakeLease)])
+    }
+
+    fn lease_taken(
+        &mut self,
+        now: Time,
+        sent: Time,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        let StateAnswer::Lease(lease) = answer else {
+            return self.give_up(now);
+        };
+        if now < self.word_until {
+            return self.give_up(now);
+        }
+        let epoch = Epoch(self.epoch.0 + 1);
+        let claim = StateCall::Commit(self.claim(lease, epoch));
+        (
+            Verdict::Nothing,
+            vec![(claim, Step::Claim(lease, sent, epoch))],
+        )
+    }
+
+    fn claim(&self, lease: LeaseId, epoch: Epoch) -> Transaction<Value> {
+        let record = LeaderRecord {
+            node: self.me.clone(),
+            epoch,
+            lease,
+        };
+        epoch_change(&record, Version(0), self.epoch_version)
+    }
+
+    fn claimed(
+        &mut self,
+        now: Time,
+        lease: LeaseId,
+        since: Time,
+        epoch: Epoch,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        match answer {
+            StateAnswer::Committed(version) => self.win(now, epoch, lease, since, version),
+            // The claim may have been carried out, or may yet be: no word until that is known.
+            StateAnswer::Unknown => {
+                self.claim_unsure = true;
+                let call = StateCall::Get(LEADER.into());
+                (
+                    Verdict::Nothing,
+                    vec![(call, Step::Verify(lease, since, epoch))],
+                )
+            }
+            _ => {
+                let (verdict, mut calls) = self.give_up(now);
+                calls.push((StateCall::EndLease(lease), Step::End));
+                (verdict, calls)
+            }
+        }
+    }
+
+    fn verified(
+        &mut self,
+        now: Time,
+        lease: LeaseId,
+        since: Time,
+        epoch: Epoch,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        if let StateAnswer::Found(item) = &answer {
+            let record = LeaderRecord::deserialize_from(&item.value);
+            if record.is_some_and(|r| r.lease == lease && r.epoch == epoch) {
+                return self.win(now, epoch, lease, since, item.version);
+            }
+        }
+        // Nothing renews this lease, so a late claim fails once it has ended. In an outage a
+        // lease does not run out, so the answer must come from a service that works.
+        let answered = matches!(answer, StateAnswer::Found(_) | StateAnswer::Missing);
+        if answered && now > since + Span(2 * LEASE.0) {
+            self.claim_unsure = false;
+            let (verdict, mut calls) = self.give_up(now);
+            calls.push((StateCall::EndLease(lease), Step::End));
+            return (verdict, calls);
+        }
+        let call = StateCall::Get(LEADER.into());
+        (
+            Verdict::Nothing,
+            vec![(call, Step::Verify(lease, since, epoch))],
+        )
+    }
+
+    fn win(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        lease: LeaseId,
+        since: Time,
+        version: Version,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        self.campaigning = false;
+        self.claim_unsure = false;
+        self.renewing = false;
+        self.vacant_since = None;
+        self.next_renew = now + RENEW;
+        self.hear_epoch(epoch);
+        (Verdict::Won(epoch, lease, since, version), vec![])
+    }
+
+    fn give_up(&mut self, now: Time) -> (Verdict, Vec<(StateCall, Step)>) {
+        self.campaigning = false;
+        self.hold_off = self.hold_off.max(now + Span(300 + 100 * self.rank));
+        (Verdict::Nothing, vec![])
+    }
+}
+
+/// The commit that takes the lead or raises the epoch.
+pub fn epoch_change(
+    record: &LeaderRecord,
+    leader_version: Version,
+    epoch_version: Version,
+) -> Transaction<Value> {
+    let epoch = EpochRecord {
+        epoch: record.epoch,
+    };
+    Transaction {
+        conditions: vec![
+            Condition {
+                key: LEADER.into(),
+                version: leader_version,
+            },
+            Condition {
+                key: EPOCH.into(),
+                version: epoch_version,
+            },
+        ],
+        changes: vec![
+            Change::Put {
+                key: LEADER.into(),
+                value: serde_json::to_value(record).unwrap_or_default(),
+                lease: Some(record.lease),
+            },
+            Change::Put {
+                key: EPOCH.into(),
+                value: serde_json::to_value(epoch).unwrap_or_default(),
+                lease: None,
+            },
+        ],
+    }
+}
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,140 @@
+//! A job as the leader sees it.
+
+use crate::records::ProgressRecord;
+use crate::units::{Resources, Time, Wall};
+use rudderreel_wire::ids::{Attempt, MachineId, Version};
+use rudderreel_wire::job::{JobSpec, Kind, Priority};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Whether a job's work goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It is neither done nor cancelled.
+    Active,
+    /// Its user withdrew it; what is left of it is being stopped.
+    Cancelled(Wall),
+}
+
+/// A job as the leader sees it. Done jobs are not kept.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The submission.
+    pub spec: Arc<JobSpec>,
+    /// The version of its record.
+    pub version: Version,
+    /// When it was submitted.
+    pub submitted: Wall,
+    /// Whether its work goes on.
+    pub stage: Stage,
+    /// What one task takes.
+    pub need: Resources,
+    /// Tasks that are done.
+    pub done: BTreeSet<u32>,
+    /// Where tasks may be: everything that is not surely gone.
+    pub places: BTreeMap<u32, Vec<(MachineId, Attempt)>>,
+    /// No start before this moment, after failures.
+    pub not_before: Time,
+    /// Failures in a row, with no success since.
+    pub errors: u32,
+    /// The version of its progress record, if it has one.
+    pub progress: Option<Version>,
+    /// Whether `done` holds more than the record does.
+    pub progress_dirty: bool,
+    /// Whether a commit of its progress or completion is open.
+    pub committing: bool,
+    /// The longest run time of a completed task, in seconds.
+    pub longest_run_s: f64,
+}
+
+impl Job {
+    /// A job that has just become known.
+    pub fn new(spec: JobSpec, version: Version, submitted: Wall) -> Self {
+        Self {
+            need: Resources::of_task(&spec),
+            spec: Arc::new(spec),
+            version,
+            submitted,
+            stage: Stage::Active,
+            done: BTreeSet::new(),
+            places: BTreeMap::new(),
+            not_before: Time(0),
+            errors: 0,
+            progress: None,
+            progress_dirty: false,
+            committing: false,
+            longest_run_s: 0.0,
+        }
+    }
+
+    /// Whether it may start tasks.
+    pub fn is_active(&self) -> bool {
+        self.stage == Stage::Active
+    }
+
+    /// Whether all its tasks are done.
+    pub fn is_complete(&self) -> bool {
+        self.spec.kind != Kind::Service && self.done.len() as u32 >= self.spec.tasks
+    }
+
+    /// How many tasks are neither done nor anywhere.
+    pub fn free_tasks(&self) -> u32 {
+        let placed = self.places.keys().filter(|i| !self.done.contains(i));
+        (self.spec.tasks)
+            .saturating_sub(self.done.len() as u32)
+            .saturating_sub(placed.count() as u32)
+    }
+
+    /// The first tasks that are neither done nor anywhere, at most `most`.
+    pub fn next_free(&self, most: usize) -> Vec<u32> {
+        (0..self.spec.tasks)
+            .filter(|i| !self.done.contains(i) && !self.places.contains_key(i))
+            .take(most)
+            .collect()
+    }
+
+    /// Notes that a task may be on a machine.
+    pub fn place(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
+        let places = self.places.entry(index).or_default();
+        if !places.iter().any(|p| p.0 == *machine && p.1 == attempt) {
+            places.push((machine.clone(), attempt));
+        }
+    }
+
+    /// Notes that a task is surely not on a machine any more.
+    pub fn unplace(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
+        if let Some(places) = self.places.get_mut(&index) {
+            places.retain(|p| !(p.0 == *machine && p.1 == attempt));
+            if places.is_empty() {
+                self.places.remove(&index);
+            }
+        }
+    }
+
+    /// Whether it may be evicted to make room. Work at priority 100 or above is not, and in
+    /// exchange runs only within its team's quota.
+    pub fn evictable(&self) -> bool {
+        self.spec.priority != Priority::Production
+    }
+
+    /// Its progress as it is recorded.
+    pub fn progress_record(&self) -> ProgressRecord {
+        let mut done: Vec<(u32, u32)> = Vec::new();
+        for &i in &self.done {
+            match done.last_mut() {
+                Some((_, end)) if *end + 1 == i => *end = i,
+                _ => done.push((i, i)),
+            }
+        }
+        ProgressRecord { done }
+    }
+
+    /// Takes in recorded progress.
+    pub fn learn_progress(&mut self, version: Version, record: &ProgressRecord) {
+        self.progress = Some(version);
+        let last = self.spec.tasks.saturating_sub(1);
+        for &(from, to) in &record.done {
+            self.done.extend(from..=to.min(last));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,28 @@
+//! The state machine of rudderreel. It has no clock, socket, thread or randomness of its own:
+//! [`Core::step`] takes an input and the time, and returns what to send, write and answer.
+#![forbid(unsafe_code)]
+
+mod actions;
+mod capacity;
+mod directory;
+mod election;
+mod fair_share;
+mod io;
+mod job;
+mod lead;
+mod possession;
+mod reads;
+mod records;
+mod recovery;
+mod snapshot;
+mod state_calls;
+mod statement;
+mod tree;
+pub mod units;
+
+mod core;
+pub use crate::core::Core;
+pub use io::{
+    CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
+    UserRequest, Value,
+};
--- /dev/null
+++ b/crates/core/src/possession.rs
@@ -0,0 +1,344 @@
+//! What may be on which machine. Nothing else decides whether a task is surely gone.
+//!
+//! A (task, attempt) may be on a machine from the moment its record is committed until
+//! 1. a report of that machine, the newest by session and sequence number, shows it as exited; or
+//!    omits it although no start for it can still be under way: the report belongs to a later
+//!    session than the start, or acknowledges a later epoch than the start was sent under, so a
+//!    delayed start would be refused;
+//! 2. the cloud has answered that the machine is returned;
+//! 3. the machine's lease has surely run out: nobody has answered its worker for `lease_s`, drift
+//!    and a margin.
+
+use crate::units::{Resources, Span, Time, Wall};
+use rudderreel_wire::ids::{
+    Attempt, Epoch, Image, JobId, MachineId, Seq, Session, TaskId, TypeName, Version, Zone,
+};
+use rudderreel_wire::worker::{Cause, Report, TaskReport, TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How far a task has come on its machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, but no start has been sent: surely not there.
+    Planned,
+    /// A start has been sent.
+    Sent,
+    /// Reported as on the machine.
+    On(TaskState),
+    /// Reported as ended: surely gone.
+    Exited(Cause),
+}
+
+/// A task on a machine, as far as the leader knows.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The task.
+    pub task: TaskId,
+    /// Its attempt.
+    pub attempt: Attempt,
+    /// What it takes.
+    pub need: Resources,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Whether the machine's committed record names it.
+    pub recorded: bool,
+    /// The epoch and session that a start was last sent under.
+    pub sent: (Epoch, Session),
+    /// Direct starts whose outcome is open.
+    pub in_flight: u32,
+    /// A direct start ended without an answer and may still be carried out.
+    pub unsure: bool,
+    /// It is to be stopped, with so much time to save.
+    pub stop: Option<Stop>,
+    /// The outcome was taken in, and the worker may forget it.
+    pub settled: bool,
+    /// When it was placed.
+    pub placed: Time,
+    /// Since when it has been running.
+    pub running: Option<Time>,
+    /// Since when newest reports omit it although it should be there.
+    pub missing: Option<Time>,
+}
+
+/// Why and how a task is stopped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stop {
+    /// Time to save.
+    pub grace_s: f64,
+    /// When it was decided.
+    pub since: Time,
+    /// Why, for people.
+    pub why: &'static str,
+}
+
+impl Entry {
+    /// A task about to be placed.
+    pub fn planned(task: TaskId, attempt: Attempt, need: Resources, now: Time) -> Self {
+        Self {
+            task,
+            attempt,
+            need,
+            phase: Phase::Planned,
+            recorded: false,
+            sent: (Epoch(0), Session(0)),
+            in_flight: 0,
+            unsure: false,
+            stop: None,
+            settled: false,
+            placed: now,
+            running: None,
+            missing: None,
+        }
+    }
+
+    /// Whether it takes room: everything that has not surely ended.
+    pub fn holds_room(&self) -> bool {
+        !matches!(self.phase, Phase::Exited(_))
+    }
+
+    /// Whether it is running, as far as is known.
+    pub fn is_running(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::On(TaskState::Running | TaskState::Saving)
+        )
+    }
+
+    /// Whether the worker may forget it: no start for it may be under way, for after that a
+    /// repeated start would run it again.
+    pub fn may_forget(&self) -> bool {
+        matches!(self.phase, Phase::Exited(_))
+            && self.settled
+            && self.in_flight == 0
+            && !self.unsure
+    }
+}
+
+/// A machine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// Its type.
+    pub machine_type: TypeName,
+    /// Its zone.
+    pub zone: Zone,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// What it offers; nothing while its type is unknown.
+    pub room: Resources,
+    /// Where its worker takes commands, once it has reported.
+    pub addr: Option<String>,
+    /// Newest message taken in.
+    pub newest: (Session, Seq),
+    /// Highest epoch that its worker has acknowledged.
+    pub acked: Epoch,
+    /// What may be on it.
+    pub entries: Vec<Entry>,
+    /// The version of its record, if there is one.
+    pub record: Option<Version>,
+    /// Whether the record must be written again.
+    pub dirty: bool,
+    /// Whether a commit of the record is open.
+    pub committing: bool,
+    /// When a node last answered a report of its worker.
+    pub last_answer: Option<Time>,
+    /// When its worker was last heard.
+    pub last_heard: Option<Time>,
+    /// When the cloud will take it away.
+    pub notice: Option<Time>,
+    /// Images that it should have.
+    pub images: BTreeSet<Image>,
+    /// A direct call to its worker is open.
+    pub direct_open: bool,
+    /// Direct calls wait until then, after one without an answer.
+    pub direct_after: Time,
+    /// It is to be emptied and returned, and why.
+    pub retire: Option<&'static str>,
+    /// A return was asked for.
+    pub returning: Option<Time>,
+    /// When it was rented or first seen.
+    pub since: Wall,
+    /// Since when nothing has been on it.
+    pub idle: Option<Time>,
+    /// Errors of tasks in a row.
+    pub errors: u32,
+    /// No starts before this moment, after errors.
+    pub quarantine: Time,
+    /// It was in the cloud's list.
+    pub listed: bool,
+}
+
+/// What a report changed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A task has its image and runs.
+    Started(TaskId, Attempt),
+    /// A task ended.
+    Exited(TaskId, Attempt, Cause, Option<Span>),
+    /// A task is gone without a word.
+    Gone(TaskId, Attempt),
+    /// A task is there that is not in the books.
+    Foreign(TaskReport),
+}
+
+impl Machine {
+    /// A machine that nothing is known of but what it is.
+    pub fn new(
+        id: MachineId,
+        machine_type: TypeName,
+        zone: Zone,
+        spot: bool,
+        room: Resources,
+        since: Wall,
+    ) -> Self {
+        Self {
+            id,
+            machine_type,
+            zone,
+            spot,
+            room,
+            addr: None,
+            newest: (Session(0), Seq(0)),
+            acked: Epoch(0),
+            entries: Vec::new(),
+            record: None,
+            dirty: false,
+            committing: false,
+            last_answer: None,
+            last_heard: None,
+            notice: None,
+            images: BTreeSet::new(),
+            direct_open: false,
+            direct_after: Time(0),
+            retire: None,
+            returning: None,
+            since,
+            idle: None,
+            errors: 0,
+            quarantine: Time(0),
+            listed: false,
+        }
+    }
+
+    /// What is free: nothing that may still be there is counted as free.
+    pub fn free(&self) -> Resources {
+        let mut free = self.room;
+        for entry in self.entries.iter().filter(|e| e.holds_room()) {
+            free -= entry.need;
+        }
+        free
+    }
+
+    /// The entry of a task's attempt.
+    pub fn entry_mut(&mut self, task: &TaskId, attempt: Attempt) -> Option<&mut Entry> {
+        self.entries
+            .iter_mut()
+            .find(|e| e.attempt == attempt && e.task == *task)
+    }
+
+    /// Whether it is up and its contents are known under this epoch.
+    pub fn is_known(&self, epoch: Epoch) -> bool {
+        self.last_heard.is_some() && self.acked == epoch
+    }
+
+    /// Takes in a report. Old ones change nothing.
+    pub fn absorb(&mut self, report: &Report, epoch: Epoch, now: Time) -> Vec<Change> {
+        if (report.session, report.seq) <= self.newest {
+            return Vec::new();
+        }
+        self.newest = (report.session, report.seq);
+        self.acked = report.token;
+        self.addr = Some(report.addr.clone());
+        self.last_heard = Some(now);
+        self.notice = report.notice_s.map(|s| now + Span::secs(s));
+        let listed: BTreeMap<(&TaskId, Attempt), &TaskReport> = (report.tasks.iter())
+            .map(|t| ((&t.task, t.attempt), t))
+            .collect();
+        let mut changes = Vec::new();
+        self.entries
+            .retain_mut(|entry| match listed.get(&(&entry.task, entry.attempt)) {
+                Some(told) => {
+                    entry.hear(told, now, &mut changes);
+                    true
+                }
+                None => entry.omitted(report, epoch, now, &mut changes),
+            });
+        for told in &report.tasks {
+            if !(self.entries.iter()).any(|e| e.attempt == told.attempt && e.task == told.task) {
+                changes.push(Change::Foreign(told.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Whether nobody can have answered its worker for so long that everything on it is gone.
+    /// `fence`: since when no older leader can have answered; none while that is not known.
+    pub fn lease_surely_over(&self, now: Time, lease: Span, fence: Option<Time>) -> bool {
+        let margin = Span(500);
+        fence.is_some_and(|fence| {
+            let last = self.last_answer.unwrap_or(fence).max(fence);
+            now > last + lease.with_drift() + margin
+        })
+    }
+
+    /// Everything on it is surely gone. Returns what was there.
+    pub fn clear(&mut self) -> Vec<(TaskId, Attempt)> {
+        let gone = self.entries.drain(..).filter(Entry::holds_room);
+        gone.map(|e| (e.task, e.attempt)).collect()
+    }
+
+    /// How many tasks of a job may be on it.
+    pub fn tasks_of(&self, job: &JobId) -> u32 {
+        let here = |e: &&Entry| e.holds_room() && e.task.job == *job;
+        self.entries.iter().filter(here).count() as u32
+    }
+}
+
+impl Entry {
+    fn hear(&mut self, told: &TaskReport, now: Time, changes: &mut Vec<Change>) {
+        self.missing = None;
+        if matches!(self.phase, Phase::Exited(_)) {
+            return;
+        }
+        if told.state == TaskState::Exited {
+            let why = told.why.unwrap_or(Cause::Error);
+            let ran = self.running.map(|since| now - since);
+            self.phase = Phase::Exited(why);
+            changes.push(Change::Exited(self.task.clone(), self.attempt, why, ran));
+            return;
+        }
+        if told.state == TaskState::Running && self.running.is_none() {
+            self.running = Some(now);
+            changes.push(Change::Started(self.task.clone(), self.attempt));
+        }
+        self.phase = Phase::On(told.state);
+    }
+
+    /// The newest report omits it. Returns whether it may still be there, or come.
+    fn omitted(
+        &mut self,
+        report: &Report,
+        epoch: Epoch,
+        now: Time,
+        changes: &mut Vec<Change>,
+    ) -> bool {
+        if self.phase == Phase::Planned {
+            return true;
+        }
+        let later_session = report.session > self.sent.1;
+        let later_epoch = report.token == epoch && report.token > self.sent.0;
+        if later_session || later_epoch {
+            if self.holds_room() {
+                changes.push(Change::Gone(self.task.clone(), self.attempt));
+            }
+            return false;
+        }
+        if matches!(self.phase, Phase::Exited(_)) {
+            // It was forgotten as told. Nothing is under way, or it would not have been told to.
+            return !self.may_forget();
+        }
+        self.missing.get_or_insert(now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/snapshot.rs
@@ -0,0 +1,189 @@
+//! The picture that a cycle decides on. It is frozen when the cycle begins; what the cycle decides
+//! is noted in it through a `statement`, and becomes real only when that is committed.
+
+use crate::job::Job;
+use crate::lead::Lead;
+use crate::possession::{Machine, Phase};
+use crate::tree::{amounts, Amounts, KINDS};
+use crate::units::{Now, Resources, Span, Time};
+use rudderreel_wire::ids::{Image, JobId, MachineId, TypeName, Zone};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A machine that work can be placed on.
+#[derive(Clone, Debug)]
+pub struct Spot {
+    /// The machine.
+    pub id: MachineId,
+    /// Its type.
+    pub machine_type: TypeName,
+    /// Its zone.
+    pub zone: Zone,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// What it offers.
+    pub room: Resources,
+    /// What is free.
+    pub free: Resources,
+    /// Images it has.
+    pub images: BTreeSet<Image>,
+    /// Images being fetched.
+    pub fetching: BTreeSet<Image>,
+    /// Replicas or tasks by job, to spread them.
+    pub jobs: BTreeMap<JobId, u32>,
+    /// Tasks that its record can still hold.
+    pub slots: usize,
+    /// Room that is meant for one job, since work was evicted for it.
+    pub claim: Option<(JobId, Resources)>,
+}
+
+impl Spot {
+    /// What is free for a job: room meant for another is not.
+    pub fn free_for(&self, job: &JobId) -> Resources {
+        match &self.claim {
+            Some((owner, need)) if owner != job => self.free - *need,
+            _ => self.free,
+        }
+    }
+}
+
+/// The picture.
+pub struct Snapshot {
+    /// Machines that work can be placed on.
+    pub spots: Vec<Spot>,
+    /// By node of the tree: what may be in use, everything not surely gone.
+    pub used: Vec<Amounts>,
+    /// By node of the tree: what is used by work that can't be evicted.
+    pub firm: Vec<Amounts>,
+    /// By node of the tree: fair share.
+    pub share: Vec<Amounts>,
+    /// By job: tasks in each zone that may exist.
+    pub zones: BTreeMap<JobId, BTreeMap<Zone, u32>>,
+    /// When it was taken.
+    pub now: Now,
+}
+
+/// Whether new work may be placed on a machine.
+pub fn usable(machine: &Machine, lead: &Lead, now: Time) -> bool {
+    let fresh = (machine.last_heard).is_some_and(|t| now - t < Span(lead.lease.0 / 2));
+    machine.is_known(lead.epoch)
+        && fresh
+        && machine.notice.is_none()
+        && machine.retire.is_none()
+        && machine.returning.is_none()
+        && machine.quarantine <= now
+}
+
+impl Snapshot {
+    /// Takes the picture.
+    pub fn take(lead: &Lead, now: Now) -> Self {
+        let nodes = lead.tree.nodes.len();
+        let mut picture = Self {
+            spots: Vec::new(),
+            used: vec![[0.0; KINDS]; nodes],
+            firm: vec![[0.0; KINDS]; nodes],
+            share: vec![[0.0; KINDS]; nodes],
+            zones: BTreeMap::new(),
+            now,
+        };
+        let mut total = Resources::default();
+        for machine in lead.machines.values() {
+            picture.count(lead, machine);
+            if machine.retire.is_none() && machine.returning.is_none() {
+                total += machine.room;
+            }
+            if usable(machine, lead, now.time) {
+                picture.spots.push(spot(lead, machine));
+            }
+        }
+        let mut requested = picture.used.clone();
+        for job in lead.jobs.values().filter(|j| j.is_active()) {
+            let need = amounts(&job.need.times(job.free_tasks()));
+            if let Some(leaf) = lead.tree.find(&job.spec.team) {
+                add(&mut requested[leaf], &need);
+            }
+        }
+        for node in requested.iter_mut().take(1) {
+            *node = [0.0; KINDS];
+        }
+        picture.share = crate::fair_share::fair_shares(&lead.tree, amounts(&total), &requested);
+        picture
+    }
+
+    fn count(&mut self, lead: &Lead, machine: &Machine) {
+        for entry in machine.entries.iter().filter(|e| e.holds_room()) {
+            let zones = self.zones.entry(entry.task.job.clone()).or_default();
+            *zones.entry(machine.zone.clone()).or_default() += 1;
+            let Some(job) = lead.jobs.get(&entry.task.job) else {
+                continue;
+            };
+            self.charge(lead, job, &amounts(&entry.need));
+        }
+    }
+
+    /// Adds to what a job's team uses, and all above it.
+    pub fn charge(&mut self, lead: &Lead, job: &Job, need: &Amounts) {
+        if let Some(leaf) = lead.tree.find(&job.spec.team) {
+            for node in lead.tree.chain(leaf) {
+                add(&mut self.used[node], need);
+                if !job.evictable() {
+                    add(&mut self.firm[node], need);
+                }
+            }
+        }
+    }
+
+    /// Whether a job's team, and all above it, may use so much more.
+    pub fn within_limits(&self, lead: &Lead, job: &Job, need: &Amounts) -> bool {
+        let Some(leaf) = lead.tree.find(&job.spec.team) else {
+            return false;
+        };
+        lead.tree.chain(leaf).all(|node| {
+            let team = &lead.tree.nodes[node];
+            let fits = |used: &Amounts, cap: &Amounts| {
+                (0..KINDS).all(|k| need[k] <= 0.0 || used[k] + need[k] <= cap[k] + 1e-9)
+            };
+            fits(&self.used[node], &team.limit)
+                && (job.evictable() || fits(&self.firm[node], &team.quota))
+        })
+    }
+
+    /// How full a team is.
+    pub fn saturation(&self, leaf: usize) -> f64 {
+        crate::fair_share::saturation(&self.used[leaf], &self.share[leaf])
+    }
+}
+
+/// Adds amounts.
+pub fn add(to: &mut Amounts, more: &Amounts) {
+    for (sum, x) in to.iter_mut().zip(more) {
+        *sum += x;
+    }
+}
+
+fn spot(lead: &Lead, machine: &Machine) -> Spot {
+    let mut jobs = BTreeMap::new();
+    let mut fetching = BTreeSet::new();
+    for entry in machine.entries.iter().filter(|e| e.holds_room()) {
+        *jobs.entry(entry.task.job.clone()).or_default() += 1;
+        if entry.phase != Phase::Planned || entry.running.is_none() {
+            if let Some(job) = lead.jobs.get(&entry.task.job) {
+                fetching.insert(job.spec.image.clone());
+            }
+        }
+    }
+    Spot {
+        id: machine.id.clone(),
+        machine_type: machine.machine_type.clone(),
+        zone: machine.zone.clone(),
+        spot: machine.spot,
+        room: machine.room,
+        free: machine.free(),
+        images: machine.images.clone(),
+        fetching,
+        jobs,
+        slots: lead.max_entries.saturating_sub(machine.entries.len()),
+        claim: (lead.claims.iter())
+            .find(|(_, (at, _))| *at == machine.id)
+            .and_then(|(id, _)| Some((id.clone(), lead.jobs.get(id)?.need))),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/worker.rs
@@ -0,0 +1,179 @@
+//! Reports of workers and commands for them.
+
+use crate::ids::{Attempt, Epoch, MachineId, NodeName, Seq, Session, TaskId, TypeName, Zone};
+use serde::{Deserialize, Serialize};
+
+/// Where a task stands on its machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    /// Waits for its image.
+    #[serde(rename = "pulling")]
+    Fetching,
+    /// Waits for the rest of its gang.
+    #[serde(rename = "gathering")]
+    Waiting,
+    /// Runs.
+    #[serde(rename = "running")]
+    Running,
+    /// Was told to stop and saves.
+    #[serde(rename = "saving")]
+    Saving,
+    /// Ended.
+    #[serde(rename = "exited")]
+    Exited,
+}
+
+/// Why a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    /// Completed.
+    #[serde(rename = "done")]
+    Done,
+    /// Stopped by command.
+    #[serde(rename = "halted")]
+    Stopped,
+    /// Another task of the gang is gone.
+    #[serde(rename = "peers")]
+    Peers,
+    /// The gang was not complete in time.
+    #[serde(rename = "alone")]
+    Alone,
+    /// Failed.
+    #[serde(rename = "error")]
+    Error,
+    /// Refused: not enough room.
+    #[serde(rename = "no_room")]
+    NoRoom,
+    /// Refused: the task is here with another attempt.
+    #[serde(rename = "in_use")]
+    Busy,
+    /// Refused: no such job or task.
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+
+/// One task in a report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// The task.
+    #[serde(rename = "take")]
+    pub task: TaskId,
+    /// Its attempt.
+    #[serde(rename = "launch")]
+    pub attempt: Attempt,
+    /// Where it stands.
+    #[serde(rename = "bearing")]
+    pub state: TaskState,
+    /// Why it ended, when it has.
+    #[serde(rename = "cause", default)]
+    pub why: Option<Cause>,
+    /// Whether its progress was saved.
+    #[serde(rename = "stored", default)]
+    pub saved: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// The machine.
+    #[serde(rename = "deck")]
+    pub machine: MachineId,
+    /// Where its worker takes commands.
+    pub addr: String,
+    /// Its type.
+    #[serde(rename = "hull")]
+    pub machine_type: TypeName,
+    /// Its zone.
+    #[serde(rename = "berth")]
+    pub zone: Zone,
+    /// Whether it is a spot machine.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// The worker's session.
+    #[serde(rename = "watch")]
+    pub session: Session,
+    /// Orders messages within the session.
+    #[serde(rename = "tally")]
+    pub seq: Seq,
+    /// Highest token the worker has seen.
+    #[serde(rename = "helm", default)]
+    pub token: Epoch,
+    /// Seconds until the cloud takes the machine away.
+    #[serde(rename = "recallS", default)]
+    pub notice_s: Option<f64>,
+    /// All tasks on the machine.
+    #[serde(rename = "takes", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+/// A command for a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb")]
+pub enum Command {
+    /// Start a task.
+    #[serde(rename = "run")]
+    Start {
+        /// The task.
+        #[serde(rename = "take")]
+        task: TaskId,
+        /// Its attempt.
+        #[serde(rename = "launch")]
+        attempt: Attempt,
+    },
+    /// Stop a task.
+    #[serde(rename = "stop")]
+    Stop {
+        /// The task.
+        #[serde(rename = "take")]
+        task: TaskId,
+        /// Its attempt.
+        #[serde(rename = "launch")]
+        attempt: Attempt,
+        /// Time to save.
+        #[serde(rename = "slackS")]
+        grace_s: f64,
+    },
+    /// Remove an exited task from the reports.
+    #[serde(rename = "reap")]
+    Forget {
+        /// The task.
+        #[serde(rename = "take")]
+        task: TaskId,
+        /// Its attempt.
+        #[serde(rename = "launch")]
+        attempt: Attempt,
+    },
+}
+
+/// The answer to a report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// The leader's token.
+    #[serde(rename = "helm")]
+    pub token: Epoch,
+    /// What to do.
+    #[serde(rename = "orders")]
+    pub commands: Vec<Command>,
+}
+
+/// The answer of a node that is not entitled.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReportElsewhere {
+    /// Where to report instead.
+    #[serde(rename = "harbour", skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<NodeName>,
+}
+
+/// Commands sent to a worker's own address.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DirectCommands {
+    /// The leader's token.
+    #[serde(rename = "helm")]
+    pub token: Epoch,
+    /// The session that they are meant for.
+    #[serde(rename = "watch")]
+    pub session: Session,
+    /// What to do.
+    #[serde(rename = "orders")]
+    pub commands: Vec<Command>,
+}
