A new leader no longer returns machines it has yet to hear; silent ones go early

A leader now waits two worker leases. A machine that missed several reports while most others are heard is returned, since that is the fastest proof that its tasks are gone.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -311,6 +311,7 @@
             .map(|t| (t.name.clone(), Span::secs(t.boot_s * 4.0 + 30.0)))
             .collect();
         let (lease, fence) = (self.lease, self.fence);
+        let (led, silence, heard) = (now.time - self.since, self.silence(), self.hears(now.time));
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
             let age = Lead::age(machine, now.wall);
@@ -318,13 +319,20 @@
                 .get(&machine.machine_type)
                 .copied()
                 .unwrap_or(Span(180_000));
-            let silent = (machine.last_heard)
-                .is_some_and(|_| machine.lease_surely_over(now.time, Span(lease.0 * 2), fence));
-            if machine.last_heard.is_none() && age > boot {
-                machine.retire.get_or_insert("never came up");
-            }
-            if silent {
-                machine.retire.get_or_insert("silent");
+            match machine.last_heard {
+                // This leader may not have been told yet that a machine of an earlier one is up.
+                None if age > boot && led > Span(lease.0 * 2) => {
+                    machine.retire.get_or_insert("never came up");
+                }
+                // Returning a machine is the fastest proof that what was on it is gone. If most
+                // are silent, it is rather this node that is cut off.
+                Some(last) if now.time - last > silence && heard => {
+                    machine.retire.get_or_insert("silent");
+                }
+                Some(_) if machine.lease_surely_over(now.time, Span(lease.0 * 2), fence) => {
+                    machine.retire.get_or_insert("silent for long");
+                }
+                _ => {}
             }
             if machine.entries.is_empty() {
                 let since = *machine.idle.get_or_insert(now.time);
@@ -347,6 +355,23 @@
         names
     }
 
+    /// A machine that was not heard for so long has missed several reports.
+    fn silence(&self) -> Span {
+        Span((self.report.0 * 3).min(self.lease.0 * 3 / 4) + 1_000)
+    }
+
+    /// Whether most machines that were ever heard were heard lately.
+    fn hears(&self, now: Time) -> bool {
+        let lately = Span(self.report.0 * 3 / 2 + 500);
+        let up: Vec<Time> = self
+            .machines
+            .values()
+            .filter_map(|m| m.last_heard)
+            .collect();
+        let heard = up.iter().filter(|&&t| now - t < lately).count();
+        heard * 3 >= up.len() * 2
+    }
+
     /// Takes in a page of the machine list, which may be older than what is known.
     fn learn_list(&mut self, listed: &[ListedMachine], now: Now) {
         for found in listed {
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -53,6 +53,8 @@
     pub catalog: Catalog,
     /// How long a worker goes on without an answer.
     pub lease: Span,
+    /// Interval of workers' reports.
+    pub report: Span,
     /// How long a cancelled job's tasks may remain.
     pub cancel: Span,
     /// Damps reclaim.
@@ -114,6 +116,7 @@
             tree,
             catalog: Catalog::default(),
             lease: Span::secs(workers.lease_s),
+            report: Span::secs(workers.report_s),
             cancel: Span::secs(workers.cancel_s),
             multiplier: 1.0,
             min_runtime: Span(30_000),
