Room made by eviction is taken at once; replicas go where their image is; consolidation

Work of the highest priority whose start can't wait for a fetch now preempts where its image is; an evicted task's room is taken by a placement recorded at once; replicas are moved off machines that can be emptied, with a reserve for arrivals.

--- a/crates/core/src/actions/allocate.rs
+++ b/crates/core/src/actions/allocate.rs
@@ -53,19 +53,12 @@
 
 /// Jobs waiting, by team, in order.
 fn queues(lead: &Lead, picture: &Snapshot) -> BTreeMap<usize, VecDeque<JobId>> {
-    let mut jobs: Vec<&Job> = (lead.jobs.values())
-        .filter(|j| j.is_active() && j.not_before <= picture.now.time && j.free_tasks() > 0)
-        .filter(|j| j.spec.kind != Kind::Gang || j.places.is_empty())
-        .collect();
-    jobs.sort_by_key(|j| {
-        (
-            std::cmp::Reverse(j.spec.priority),
-            j.submitted,
-            j.spec.id.clone(),
-        )
-    });
+    let jobs = lead.waiting(picture.now.time);
     let mut queues: BTreeMap<usize, VecDeque<JobId>> = BTreeMap::new();
     for job in jobs {
+        if picture.taken(&job.spec.id) >= job.free_tasks() as usize {
+            continue;
+        }
         if let Some(leaf) = lead.tree.find(&job.spec.team) {
             queues
                 .entry(leaf)
@@ -76,11 +69,11 @@
     queues
 }
 
-/// Decides placements.
-pub fn allocate(lead: &Lead, picture: &mut Snapshot) -> Vec<Placement> {
+/// Decides placements. With `picky`, work whose start can't wait for a fetch is left alone where
+/// its image is not at hand: room may yet be made for it where it is.
+pub fn allocate(lead: &Lead, picture: &mut Snapshot, picky: bool) -> Vec<Placement> {
     let mut queues = queues(lead, picture);
     let mut refused: HashSet<Shape> = HashSet::new();
-    let mut taken: BTreeMap<JobId, usize> = BTreeMap::new();
     let mut placed = Vec::new();
     loop {
         let next = (queues.iter())
@@ -95,14 +88,12 @@
         };
         let done = match lead.jobs.get(&id) {
             Some(job) => {
-                let skip = taken.entry(id).or_default();
                 let shape = Shape::of(&job.spec, &job.need);
                 if refused.contains(&shape) {
                     true
                 } else {
-                    let got = place_some(lead, picture, job, *skip);
-                    *skip += got.len();
-                    let more = job.free_tasks() as usize > *skip;
+                    let got = place_some(lead, picture, job, picky);
+                    let more = job.free_tasks() as usize > picture.taken(&id);
                     let full = got.is_empty() || (got.len() < CHUNK && more);
                     if full && limits_allow(lead, picture, job) {
                         refused.insert(shape);
@@ -126,19 +117,20 @@
 }
 
 /// Places some tasks of a job; a gang whole or not at all.
-fn place_some(lead: &Lead, picture: &mut Snapshot, job: &Job, skip: usize) -> Vec<Placement> {
+fn place_some(lead: &Lead, picture: &mut Snapshot, job: &Job, picky: bool) -> Vec<Placement> {
     let gang = job.spec.kind == Kind::Gang;
     let want = if gang { job.spec.tasks as usize } else { CHUNK };
     if gang {
         return place_gang(lead, picture, job, want);
     }
+    let skip = picture.taken(&job.spec.id);
     let free = job.next_free(skip + want);
     let mut statement = Statement::default();
     for &index in free.iter().skip(skip) {
         if !limits_allow(lead, picture, job) {
             break;
         }
-        let Some(at) = fit::best(lead, picture, job) else {
+        let Some(at) = fit::best(lead, picture, job, picky) else {
             break;
         };
         statement.place(lead, picture, job, index, at);
@@ -177,7 +169,7 @@
 
 fn best_in(lead: &Lead, picture: &Snapshot, job: &Job, zone: Option<&Zone>) -> Option<usize> {
     let Some(zone) = zone else {
-        return fit::best(lead, picture, job);
+        return fit::best(lead, picture, job, false);
     };
     (0..picture.spots.len())
         .filter(|&i| picture.spots[i].zone == *zone)
--- /dev/null
+++ b/crates/core/src/actions/consolidate.rs
@@ -0,0 +1,110 @@
+//! Consolidation: replicas are moved off a machine that holds few, if all of them have a home
+//! elsewhere, so that it empties and can be returned.
+//!
+//! A replica can't run in two places, so a move costs a moment of its time. It goes only to a
+//! machine that has its image, the new start is recorded before the old task is stopped, and only
+//! a few are moved in a cycle.
+
+use super::evict::{Eviction, Scenario};
+use super::fit;
+use crate::lead::Lead;
+use crate::possession::{Entry, Phase};
+use crate::snapshot::Snapshot;
+use crate::statement::Statement;
+use crate::units::Span;
+use rudderreel_wire::ids::MachineId;
+use rudderreel_wire::job::Kind;
+use rudderreel_wire::worker::TaskState;
+
+/// Replicas moved in a cycle.
+const MOVES: usize = 2;
+/// A replica is left alone for so long after its start.
+const SETTLE: Span = Span(45_000);
+
+/// Moves replicas off the machine that is easiest to empty. Returns that machine, which gets
+/// nothing new meanwhile.
+pub fn consolidate(
+    lead: &Lead,
+    picture: &mut Snapshot,
+    scenario: &mut Scenario,
+) -> Option<MachineId> {
+    let mut order: Vec<usize> = (0..picture.spots.len()).collect();
+    order.sort_by_key(|&i| {
+        let spot = &picture.spots[i];
+        (
+            (spot.room - spot.free).cpus,
+            std::cmp::Reverse(spot.room.cpus),
+        )
+    });
+    order
+        .into_iter()
+        .find_map(|at| empty_out(lead, picture, scenario, at))
+}
+
+fn movable(lead: &Lead, picture: &Snapshot, entry: &Entry) -> bool {
+    let job = lead.jobs.get(&entry.task.job);
+    let alone = |j: &crate::job::Job| {
+        j.places
+            .get(&entry.task.index)
+            .is_some_and(|p| p.len() == 1)
+    };
+    job.is_some_and(|j| j.spec.kind == Kind::Service && j.is_active() && alone(j))
+        && entry.phase == Phase::On(TaskState::Running)
+        && entry.stop.is_none()
+        && (entry.running).is_some_and(|t| picture.now.time - t >= SETTLE)
+}
+
+fn empty_out(
+    lead: &Lead,
+    picture: &mut Snapshot,
+    scenario: &mut Scenario,
+    at: usize,
+) -> Option<MachineId> {
+    let id = picture.spots[at].id.clone();
+    let machine = lead.machines.get(&id)?;
+    let here: Vec<&Entry> = machine.entries.iter().filter(|e| e.holds_room()).collect();
+    if here.is_empty() || !here.iter().all(|e| movable(lead, picture, e)) {
+        return None;
+    }
+    let used = picture.spots[at].room - picture.spots[at].free;
+    // Simulated whole: every replica needs a home, or none is moved.
+    let mut plan = Vec::new();
+    for entry in here {
+        let job = lead.jobs.get(&entry.task.job)?;
+        picture.evict(lead, at, &entry.task, entry.attempt, &entry.need);
+        let home = (0..picture.spots.len())
+            .filter(|&i| i != at && picture.spots[i].images.contains(&job.spec.image))
+            .filter(|&i| fit::fits(lead, picture, job, &picture.spots[i]))
+            .filter(|&i| (picture.spots[i].room - picture.spots[i].free).cpus >= used.cpus)
+            .min_by_key(|&i| {
+                let spot = &picture.spots[i];
+                (
+                    spot.jobs.get(&job.spec.id).copied().unwrap_or(0),
+                    spot.free.cpus,
+                )
+            });
+        let mut statement = Statement::default();
+        if let Some(home) = home {
+            statement.place(lead, picture, job, entry.task.index, home);
+        }
+        plan.push((entry, job, statement));
+    }
+    let whole = plan.iter().all(|(_, _, s)| s.len() == 1) && picture.keeps_reserve(lead, Some(at));
+    if !whole {
+        for (entry, job, statement) in plan.into_iter().rev() {
+            statement.discard(lead, picture, job);
+            picture.restore(lead, at, &entry.task, entry.attempt, &entry.need);
+        }
+        return None;
+    }
+    for (entry, _, statement) in plan.into_iter().take(MOVES) {
+        scenario.evictions.push(Eviction {
+            task: entry.task.clone(),
+            attempt: entry.attempt,
+            machine: id.clone(),
+            why: "moved",
+        });
+        scenario.placements.extend(statement.commit());
+    }
+    Some(id)
+}
--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -25,8 +25,12 @@
 
 /// Whether one more task of the job fits on a machine.
 pub fn fits(lead: &Lead, picture: &Snapshot, job: &Job, spot: &Spot) -> bool {
+    spot.free.holds(&job.need) && suits(lead, picture, job, spot)
+}
+
+/// Whether one more task of the job may go on a machine if there is room.
+pub fn suits(lead: &Lead, picture: &Snapshot, job: &Job, spot: &Spot) -> bool {
     spot.slots > 0
-        && spot.free_for(&job.spec.id).holds(&job.need)
         && allowed(&job.spec, &spot.machine_type, &spot.zone, spot.spot)
         && !wastes_gpus(lead, job, spot)
         && zone_allows(picture, &job.spec, &spot.zone)
@@ -37,9 +41,12 @@
     job.need.gpus == 0 && spot.free.gpus > 0 && lead.fits_without_gpus(&job.spec, &job.need)
 }
 
-/// The best machine for one more task of the job.
-pub fn best(lead: &Lead, picture: &Snapshot, job: &Job) -> Option<usize> {
+/// The best machine for one more task of the job. With `picky`, a job whose start can't wait for
+/// a fetch is offered only machines that have its image.
+pub fn best(lead: &Lead, picture: &Snapshot, job: &Job, picky: bool) -> Option<usize> {
+    let picky = picky && lead.is_picky(job);
     (0..picture.spots.len())
+        .filter(|&i| !picky || picture.spots[i].images.contains(&job.spec.image))
         .filter(|&i| fits(lead, picture, job, &picture.spots[i]))
         .min_by(|&a, &b| {
             let (a, b) = (score(picture, job, a), score(picture, job, b));
--- a/crates/core/src/actions/mod.rs
+++ b/crates/core/src/actions/mod.rs
@@ -1,9 +1,12 @@
-//! What a cycle does, in order: allocate free room, reclaim lent room, preempt within a team.
+//! What a cycle does, in order: allocate free room, reclaim lent room, preempt within a team,
+//! consolidate.
 
 mod allocate;
+mod consolidate;
 mod evict;
 mod fit;
 
 pub use allocate::allocate;
-pub use evict::{preempt, reclaim};
+pub use consolidate::consolidate;
+pub use evict::{preempt, reclaim, Scenario};
 pub use fit::allowed;
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -12,11 +12,12 @@
 use crate::units::{Now, Resources, Span, Time, Wall};
 use rudderreel_wire::cloud::{Catalog, MachineType};
 use rudderreel_wire::ids::{
-    Attempt, Epoch, JobId, LeaseId, MachineId, NodeName, TaskId, TypeName, Version,
+    Attempt, Class, Epoch, JobId, LeaseId, MachineId, NodeName, TaskId, TypeName, Version,
 };
 use rudderreel_wire::job::{JobSpec, Kind};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::worker::{Cause, Command, Report, TaskReport, TaskState};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a node holds while it leads.
@@ -61,12 +62,16 @@
     pub multiplier: f64,
     /// Younger work is not evicted.
     pub min_runtime: Span,
-    /// Room meant for jobs, since work was evicted for them.
-    pub claims: BTreeMap<JobId, (MachineId, Time)>,
+    /// The same for preemption within a team.
+    pub preempt_min_runtime: Span,
+    /// How soon tasks of a class should start, where users say so.
+    pub wait_aims: BTreeMap<Class, Span>,
     /// Tasks that a machine's record can hold.
     pub max_entries: usize,
     /// Rental requests.
     pub rentals: Rentals,
+    /// When replicas may be moved next.
+    pub next_move: Time,
     /// When the next cycle is due.
     pub next_cycle: Time,
     /// Progress records of jobs that are over, to be deleted.
@@ -83,9 +88,22 @@
 const DEBOUNCE: Span = Span(60);
 /// The design's period.
 pub const PERIOD: Span = Span(2_000);
+/// A placement that could not start for so long is taken back.
+const STALLED: Span = Span(10_000);
+/// How far back arrivals are looked at.
+const LATELY: Span = Span(120_000);
 /// A record's bytes per task, at most.
 const ENTRY_BYTES: usize = 48;
 
+/// Room to be kept for urgent work.
+#[derive(Clone, Copy, Debug)]
+pub struct Reserve {
+    /// What one task takes.
+    pub need: Resources,
+    /// How many may come.
+    pub tasks: u32,
+}
+
 impl Lead {
     /// A leader that has just won.
     pub fn new(
@@ -120,9 +138,14 @@
             cancel: Span::secs(workers.cancel_s),
             multiplier: 1.0,
             min_runtime: Span(30_000),
-            claims: BTreeMap::new(),
+            preempt_min_runtime: Span(0),
+            wait_aims: (settings.params.objectives.iter())
+                .filter(|o| o.kind == "wait")
+                .filter_map(|o| Some((o.class.clone()?, Span::secs(o.within_s?))))
+                .collect(),
             max_entries: (value_bytes.saturating_sub(512) / ENTRY_BYTES).max(1),
             rentals: Rentals::default(),
+            next_move: now + Span(20_000),
             next_cycle: now,
             stale_progress: Vec::new(),
             next_progress: now,
@@ -235,7 +258,13 @@
     fn take_in(&mut self, machine: &MachineId, change: Change, now: Now) {
         match change {
             Change::Started(task, _) => {
-                let image = self.jobs.get(&task.job).map(|j| j.spec.image.clone());
+                let job = self.jobs.get(&task.job);
+                let image = job.map(|j| j.spec.image.clone());
+                if let Some(job) = job {
+                    let waited = Span(now.wall.0.saturating_sub(job.submitted.0)).as_secs();
+                    let class = &job.spec.class;
+                    log::debug!("{task} of {class} runs on {machine}, {waited} s after submission");
+                }
                 if let (Some(image), Some(m)) = (image, self.machines.get_mut(machine)) {
                     m.images.insert(image);
                 }
@@ -641,25 +670,25 @@
 
     /// Decides one cycle.
     pub fn cycle(&mut self, now: Now) {
-        self.claims.retain(|_, (_, until)| *until > now.time);
+        self.drop_stalled(now.time);
         let mut picture = Snapshot::take(self, now);
-        let placements = actions::allocate(self, &mut picture);
-        let mut evictions = actions::reclaim(self, &mut picture);
-        evictions.extend(actions::preempt(self, &mut picture));
+        let mut scenario = actions::Scenario::default();
+        let mut placements = actions::allocate(self, &mut picture, true);
+        actions::reclaim(self, &mut picture, &mut scenario);
+        actions::preempt(self, &mut picture, &mut scenario);
+        placements.extend(actions::allocate(self, &mut picture, false));
+        if scenario.evictions.is_empty() && now.time >= self.next_move {
+            let emptied = actions::consolidate(self, &mut picture, &mut scenario);
+            if let Some(machine) = emptied.and_then(|id| self.machines.get_mut(&id)) {
+                machine.cordon = now.time + Span(3 * PERIOD.0);
+                self.next_move = now.time + PERIOD;
+            }
+        }
+        placements.extend(scenario.placements);
         self.apply(placements, now.time);
-        for eviction in evictions {
-            let grace = self
-                .jobs
-                .get(&eviction.task.job)
-                .map_or(0.0, |j| j.spec.save_s);
-            log::info!(
-                "{} is {} for {}",
-                eviction.task,
-                eviction.why,
-                eviction.for_job
-            );
-            let claim = (eviction.machine.clone(), now.time + Span(8_000));
-            self.claims.insert(eviction.for_job, claim);
+        for eviction in scenario.evictions {
+            let grace = (self.jobs.get(&eviction.task.job)).map_or(0.0, |j| j.spec.save_s);
+            log::debug!("{} is {}", eviction.task, eviction.why);
             let entry = (self.machines.get_mut(&eviction.machine))
                 .and_then(|m| m.entry_mut(&eviction.task, eviction.attempt));
             if let Some(entry) = entry {
@@ -673,6 +702,68 @@
         self.plan_capacity(&picture, now);
     }
 
+    /// Jobs with tasks to start, in order.
+    pub fn waiting(&self, now: Time) -> Vec<&Job> {
+        let mut jobs: Vec<&Job> = (self.jobs.values())
+            .filter(|j| j.is_active() && j.not_before <= now && j.free_tasks() > 0)
+            .filter(|j| j.spec.kind != Kind::Gang || j.places.is_empty())
+            .collect();
+        jobs.sort_by_key(|j| (Reverse(j.spec.priority), j.submitted, j.spec.id.clone()));
+        jobs
+    }
+
+    /// Whether a job's start can't wait for its image to be fetched, by what users say.
+    pub fn is_picky(&self, job: &Job) -> bool {
+        let slowest = (self.catalog.types.iter())
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min);
+        let fetch = Span::secs(job.spec.image_gb / slowest.max(1e-3));
+        !job.evictable() && (self.wait_aims.get(&job.spec.class)).is_some_and(|w| *w < fetch)
+    }
+
+    /// Placements that wait for room which does not come free are taken back.
+    fn drop_stalled(&mut self, now: Time) {
+        let stalled: Vec<(MachineId, JobId, Attempt)> = (self.machines.values())
+            .flat_map(|m| m.entries.iter().map(move |e| (m, e)))
+            .filter(|(_, e)| e.phase == Phase::Planned && now > e.placed + STALLED)
+            .map(|(m, e)| (m.id.clone(), e.task.job.clone(), e.attempt))
+            .collect();
+        for (machine, job, attempt) in stalled {
+            self.stop_on(&machine, &job, attempt, 0.0, "stalled", now);
+        }
+    }
+
+    /// Room for urgent work that may come before a machine could be had: by need, as many tasks
+    /// as came lately in the time that a machine takes to boot, and two standard deviations more.
+    pub fn reserve(&self, now: Now) -> Vec<Reserve> {
+        let boot = (self.catalog.types.iter())
+            .map(|t| t.boot_s)
+            .fold(0.0, f64::max);
+        let mut came: Vec<(Resources, u32)> = Vec::new();
+        for job in self
+            .jobs
+            .values()
+            .filter(|j| j.is_active() && !j.evictable())
+        {
+            let urgent = (self.wait_aims.get(&job.spec.class)).is_some_and(|w| w.as_secs() < boot);
+            let age = Span(now.wall.0.saturating_sub(job.submitted.0));
+            if !urgent || age > LATELY || job.spec.kind != Kind::Service {
+                continue;
+            }
+            match came.iter_mut().find(|(need, _)| *need == job.need) {
+                Some((_, n)) => *n += job.spec.tasks,
+                None => came.push((job.need, job.spec.tasks)),
+            }
+        }
+        let per_boot = |n: u32| f64::from(n) * boot / LATELY.as_secs();
+        (came.into_iter())
+            .map(|(need, n)| Reserve {
+                need,
+                tasks: (per_boot(n) + 2.0 * per_boot(n).sqrt()).ceil() as u32,
+            })
+            .collect()
+    }
+
     fn apply(&mut self, placements: Vec<Placement>, now: Time) {
         let mut gangs: BTreeMap<JobId, Attempt> = BTreeMap::new();
         for placement in placements {
@@ -689,7 +780,6 @@
             if gang {
                 gangs.insert(id.clone(), attempt);
             }
-            self.claims.remove(&id);
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.place(placement.task.index, &placement.machine, attempt);
             }
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -165,6 +165,8 @@
     pub errors: u32,
     /// No starts before this moment, after errors.
     pub quarantine: Time,
+    /// Nothing new before this moment: it is being emptied.
+    pub cordon: Time,
     /// It was in the cloud's list.
     pub listed: bool,
 }
@@ -217,6 +219,7 @@
             idle: None,
             errors: 0,
             quarantine: Time(0),
+            cordon: Time(0),
             listed: false,
         }
     }
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -3,10 +3,10 @@
 
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Machine, Phase};
+use crate::possession::Machine;
 use crate::tree::{amounts, Amounts, KINDS};
 use crate::units::{Now, Resources, Span, Time};
-use rudderreel_wire::ids::{Image, JobId, MachineId, TypeName, Zone};
+use rudderreel_wire::ids::{Attempt, Image, JobId, MachineId, TaskId, TypeName, Zone};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that work can be placed on.
@@ -32,18 +32,8 @@
     pub jobs: BTreeMap<JobId, u32>,
     /// Tasks that its record can still hold.
     pub slots: usize,
-    /// Room that is meant for one job, since work was evicted for it.
-    pub claim: Option<(JobId, Resources)>,
-}
-
-impl Spot {
-    /// What is free for a job: room meant for another is not.
-    pub fn free_for(&self, job: &JobId) -> Resources {
-        match &self.claim {
-            Some((owner, need)) if owner != job => self.free - *need,
-            _ => self.free,
-        }
-    }
+    /// Room of work that could be evicted for work of the highest priority.
+    pub evictable: Resources,
 }
 
 /// The picture.
@@ -60,6 +50,10 @@
     pub zones: BTreeMap<JobId, BTreeMap<Zone, u32>>,
     /// When it was taken.
     pub now: Now,
+    /// Tasks that are to be evicted.
+    evicted: BTreeSet<(TaskId, Attempt)>,
+    /// By job: tasks placed in this cycle.
+    taken: BTreeMap<JobId, usize>,
 }
 
 /// Whether new work may be placed on a machine.
@@ -71,6 +65,7 @@
         && machine.retire.is_none()
         && machine.returning.is_none()
         && machine.quarantine <= now
+        && machine.cordon <= now
 }
 
 impl Snapshot {
@@ -84,6 +79,8 @@
             share: vec![[0.0; KINDS]; nodes],
             zones: BTreeMap::new(),
             now,
+            evicted: BTreeSet::new(),
+            taken: BTreeMap::new(),
         };
         let mut total = Resources::default();
         for machine in lead.machines.values() {
@@ -147,6 +144,78 @@
         })
     }
 
+    /// How many of a job's tasks have been placed in this cycle.
+    pub fn taken(&self, job: &JobId) -> usize {
+        self.taken.get(job).copied().unwrap_or(0)
+    }
+
+    /// Notes that tasks of a job were placed, or taken back.
+    pub fn note_taken(&mut self, job: &JobId, change: isize) {
+        let taken = self.taken.entry(job.clone()).or_default();
+        *taken = taken.saturating_add_signed(change);
+    }
+
+    /// Whether a task is to be evicted.
+    pub fn is_evicted(&self, task: &TaskId, attempt: Attempt) -> bool {
+        self.evicted.contains(&(task.clone(), attempt))
+    }
+
+    /// Simulates an eviction.
+    pub fn evict(
+        &mut self,
+        lead: &Lead,
+        at: usize,
+        task: &TaskId,
+        attempt: Attempt,
+        need: &Resources,
+    ) {
+        self.evicted.insert((task.clone(), attempt));
+        self.shift(lead, at, task, need, -1);
+    }
+
+    /// Takes a simulated eviction back.
+    pub fn restore(
+        &mut self,
+        lead: &Lead,
+        at: usize,
+        task: &TaskId,
+        attempt: Attempt,
+        need: &Resources,
+    ) {
+        self.evicted.remove(&(task.clone(), attempt));
+        self.shift(lead, at, task, need, 1);
+    }
+
+    fn shift(&mut self, lead: &Lead, at: usize, task: &TaskId, need: &Resources, sign: i32) {
+        let amount = amounts(need).map(|x| x * f64::from(sign));
+        if let Some(job) = lead.jobs.get(&task.job) {
+            self.charge(lead, job, &amount);
+        }
+        let spot = &mut self.spots[at];
+        if sign < 0 {
+            spot.free += *need;
+        } else {
+            spot.free -= *need;
+        }
+        let zones = self.zones.entry(task.job.clone()).or_default();
+        let here = zones.entry(spot.zone.clone()).or_default();
+        *here = here.saturating_add_signed(sign);
+        let jobs = spot.jobs.entry(task.job.clone()).or_default();
+        *jobs = jobs.saturating_add_signed(sign);
+    }
+
+    /// Whether there is room for the urgent work that may come before a machine could be had,
+    /// even without one of the machines. Work that would be evicted for it counts as room.
+    pub fn keeps_reserve(&self, lead: &Lead, without: Option<usize>) -> bool {
+        lead.reserve(self.now).iter().all(|reserve| {
+            let room: u32 = (self.spots.iter().enumerate())
+                .filter(|(i, _)| Some(*i) != without)
+                .map(|(_, s)| (s.free + s.evictable).count(&reserve.need))
+                .sum();
+            room >= reserve.tasks
+        })
+    }
+
     /// How full a team is.
     pub fn saturation(&self, leaf: usize) -> f64 {
         crate::fair_share::saturation(&self.used[leaf], &self.share[leaf])
@@ -163,12 +232,16 @@
 fn spot(lead: &Lead, machine: &Machine) -> Spot {
     let mut jobs = BTreeMap::new();
     let mut fetching = BTreeSet::new();
+    let mut evictable = Resources::default();
     for entry in machine.entries.iter().filter(|e| e.holds_room()) {
         *jobs.entry(entry.task.job.clone()).or_default() += 1;
-        if entry.phase != Phase::Planned || entry.running.is_none() {
-            if let Some(job) = lead.jobs.get(&entry.task.job) {
+        if let Some(job) = lead.jobs.get(&entry.task.job) {
+            if entry.running.is_none() {
                 fetching.insert(job.spec.image.clone());
             }
+            if job.evictable() && entry.stop.is_none() {
+                evictable += entry.need;
+            }
         }
     }
     Spot {
@@ -182,8 +255,6 @@
         fetching,
         jobs,
         slots: lead.max_entries.saturating_sub(machine.entries.len()),
-        claim: (lead.claims.iter())
-            .find(|(_, (at, _))| *at == machine.id)
-            .and_then(|(id, _)| Some((id.clone(), lead.jobs.get(id)?.need))),
+        evictable,
     }
 }
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -25,6 +25,7 @@
     /// Places a task on a machine of the snapshot.
     pub fn place(&mut self, lead: &Lead, picture: &mut Snapshot, job: &Job, index: u32, at: usize) {
         picture.charge(lead, job, &amounts(&job.need));
+        picture.note_taken(&job.spec.id, 1);
         let spot = &mut picture.spots[at];
         spot.free -= job.need;
         spot.slots = spot.slots.saturating_sub(1);
@@ -55,6 +56,7 @@
         let back = amounts(&job.need).map(|x| -x);
         for (placement, at, image, fetches) in self.log.into_iter().rev() {
             picture.charge(lead, job, &back);
+            picture.note_taken(&job.spec.id, -1);
             let spot = &mut picture.spots[at];
             spot.free += job.need;
             spot.slots += 1;
