--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -93,6 +93,8 @@
     job.spec.team == victim.spec.team && job.spec.priority > victim.spec.priority
 }
 
+/// What starting again costs a task, besides the work that is lost.
+const RESTART: Span = Span(10_000);
 /// How many jobs a cycle looks at, and how many tasks of each.
 const DEPTH: usize = 8;
 const TASKS: usize = 8;
@@ -204,12 +206,10 @@
             let victim = lead.jobs.get(&e.task.job)?;
             let whole = victim.spec.kind != Kind::Gang || victim.spec.tasks == 1;
             let ran = e.running.map_or(0, |t| (now - t).0);
-            // What can save loses little but the time to save and to start again.
-            let loss = if victim.spec.checkpoint_s > 0.0 {
-                ran.min(Span::secs(victim.spec.save_s + 5.0).0)
-            } else {
-                ran
-            };
+            // What can save loses little but the time to save; both must start again.
+            let saved = victim.spec.checkpoint_s > 0.0;
+            let ran = if saved { ran.min(Span::secs(victim.spec.save_s).0) } else { ran };
+            let loss = ran + RESTART.0;
             (whole && victim.evictable()).then(|| Victim {
                 task: e.task.clone(),
                 attempt: e.attempt,
--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -36,9 +36,13 @@
         && zone_allows(picture, &job.spec, &spot.zone)
 }
 
-/// Work without GPUs stays off machines with free GPUs if it could ever run elsewhere.
+/// Work without GPUs stays off machines with free GPUs if it could ever run elsewhere, and
+/// replicas off all machines with GPUs: they would hold them long after the GPUs' work is done.
 fn wastes_gpus(lead: &Lead, job: &Job, spot: &Spot) -> bool {
-    job.need.gpus == 0 && spot.free.gpus > 0 && lead.fits_without_gpus(&job.spec, &job.need)
+    let lasting = job.spec.kind == Kind::Service && spot.room.gpus > 0;
+    job.need.gpus == 0
+        && (spot.free.gpus > 0 || lasting)
+        && lead.fits_without_gpus(&job.spec, &job.need)
 }
 
 /// The best machine for one more task of the job. With `picky`, a job whose start can't wait for
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -30,8 +30,8 @@
 pub struct Rentals {
     /// Requests that wait to go out, are out, or must be repeated.
     pub open: Vec<Rent>,
-    /// Offers that were refused, and until when they are not asked for again.
-    pub refused: BTreeMap<Offer, Time>,
+    /// Offers that were refused: until when they are not asked for again, and how often in a row.
+    pub refused: BTreeMap<Offer, (Time, u32)>,
     named: u64,
 }
 
@@ -68,11 +68,30 @@
 const LEAST_CHARGE: Span = Span(60_000);
 /// An idle machine is kept for so long.
 const KEEP_IDLE: Span = Span(20_000);
-/// An offer that was refused is asked for again after so long.
-const REFUSED: Span = Span(8_000);
+/// An offer that was refused is asked for again after so long, and twice as long each time, up to
+/// a bound.
+const REFUSED: Span = Span(4_000);
+const REFUSED_MOST: u32 = 3;
 /// Most machines of one request.
 const MOST: u32 = 50;
 
+impl Rentals {
+    fn refuse(&mut self, offer: Offer, now: Time) {
+        let (until, times) = self.refused.entry(offer).or_default();
+        *until = now + Span(REFUSED.0 << *times);
+        *times = (*times + 1).min(REFUSED_MOST);
+    }
+
+    fn is_open(&self, offer: &Offer, now: Time) -> bool {
+        self.refused.get(offer).is_none_or(|(until, _)| now >= *until)
+    }
+
+    /// A machine was returned, so another like it can be had again.
+    fn came_free(&mut self, offer: &Offer) {
+        self.refused.remove(offer);
+    }
+}
+
 impl CloudCalls {
     /// `rate` is how many calls a second may be made.
     pub fn new(rate: f64) -> Self {
@@ -128,6 +147,7 @@
 /// Room that is coming: a machine that boots, or one to be rented.
 struct Bin {
     offer: Offer,
+    gpus: bool,
     free: Resources,
     jobs: BTreeMap<JobId, u32>,
 }
@@ -135,7 +155,6 @@
 impl Lead {
     /// Decides which machines to rent for work that found no room.
     pub fn plan_capacity(&mut self, picture: &Snapshot, now: Now) {
-        self.rentals.refused.retain(|_, until| *until > now.time);
         let mut bins = self.coming();
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut used = picture.used.clone();
@@ -162,7 +181,7 @@
                 }
                 self.charge_planned(job, &mut used, &mut firm);
                 if !self.fill_bin(job, &mut bins) {
-                    let Some(offer) = self.cheapest_offer(job, &bins) else {
+                    let Some(offer) = self.cheapest_offer(job, &bins, now.time) else {
                         break;
                     };
                     *wanted.entry(offer.clone()).or_default() += 1;
@@ -206,8 +225,10 @@
     }
 
     fn bin(&self, offer: Offer) -> Bin {
+        let free = self.room_of(&offer.machine_type);
         Bin {
-            free: self.room_of(&offer.machine_type),
+            gpus: free.gpus > 0,
+            free,
             offer,
             jobs: BTreeMap::new(),
         }
@@ -253,7 +274,7 @@
             bin.free.holds(&job.need)
                 && allowed(&job.spec, &o.machine_type, &o.zone, o.spot)
                 && !(job.need.gpus == 0
-                    && bin.free.gpus > 0
+                    && (bin.free.gpus > 0 || job.spec.kind == Kind::Service && bin.gpus)
                     && self.fits_without_gpus(&job.spec, &job.need))
                 && in_zone(bins, &o.zone) < job.spec.zone_cap()
         });
@@ -270,7 +291,7 @@
     }
 
     /// The offer with the lowest price for each task of the job that it would hold.
-    fn cheapest_offer(&self, job: &Job, bins: &[Bin]) -> Option<Offer> {
+    fn cheapest_offer(&self, job: &Job, bins: &[Bin], now: Time) -> Option<Offer> {
         let mut best: Option<(f64, Offer)> = None;
         for machine_type in &self.catalog.types {
             let room = Resources::of_machine(machine_type);
@@ -279,7 +300,7 @@
             }
             let count = room.count(&job.need);
             for offer in offers(machine_type) {
-                let open = !self.rentals.refused.contains_key(&offer)
+                let open = self.rentals.is_open(&offer, now)
                     && count > 0
                     && allowed(&job.spec, &offer.machine_type, &offer.zone, offer.spot);
                 let planned: u32 = (bins.iter())
@@ -355,6 +376,16 @@
         names
     }
 
+    fn note_return(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.get(id) {
+            self.rentals.came_free(&Offer {
+                machine_type: machine.machine_type.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+            });
+        }
+    }
+
     /// A machine that was not heard for so long has missed several reports.
     fn silence(&self) -> Span {
         Span((self.report.0 * 3).min(self.lease.0 * 3 / 4) + 1_000)
@@ -480,6 +511,9 @@
             (CloudStep::Rent(rent), answer) => self.rented(rent, answer, now),
             (CloudStep::Return(names), CloudAnswer::Returned) => {
                 for id in names {
+                    if let Some(lead) = self.lead.as_mut() {
+                        lead.note_return(&id);
+                    }
                     let record = self.lead.as_mut().and_then(|l| l.drop_machine(&id, now));
                     if let Some(version) = record {
                         self.clean(crate::records::machine_key(&id), version);
@@ -508,12 +542,13 @@
             zone: rent.zone.clone(),
             spot: rent.spot,
         };
-        let backoff = now.time + REFUSED;
         match answer {
             CloudAnswer::Rented(names) => {
                 lead.rentals.open.retain(|r| r.request != rent.request);
                 if (names.machines.len() as u32) < rent.count {
-                    lead.rentals.refused.insert(offer, backoff);
+                    lead.rentals.refuse(offer, now.time);
+                } else {
+                    lead.rentals.refused.remove(&offer);
                 }
                 for id in names.machines {
                     let room = lead.room_of(&rent.machine_type);
@@ -527,7 +562,7 @@
             }
             CloudAnswer::NoCapacity | CloudAnswer::Rejected => {
                 lead.rentals.open.retain(|r| r.request != rent.request);
-                lead.rentals.refused.insert(offer, backoff);
+                lead.rentals.refuse(offer, now.time);
                 lead.wake(now.time);
             }
             // It may have been carried out: the same request is repeated, by the same name.
