Firm work is placed first, and room is held back for arrivals of replicas

Work that may use quota only is now placed before work that can borrow, and room for the arrivals of one boot time is held where their images are.

--- a/crates/core/src/actions/allocate.rs
+++ b/crates/core/src/actions/allocate.rs
@@ -1,5 +1,6 @@
 //! Places pending work on free room: the team that is least saturated first, within a team by
-//! priority and age. Like tasks are decided as a class: one refusal holds for all of the same
+//! priority and age. Work that can't be evicted may use only quota, which is handed out first, so
+//! it is placed before work that can also borrow. Like tasks are decided as a class: one refusal holds for all of the same
 //! shape in this cycle.
 
 use super::fit;
@@ -52,11 +53,12 @@
 const CHUNK: usize = 4;
 
 /// Jobs waiting, by team, in order.
-fn queues(lead: &Lead, picture: &Snapshot) -> BTreeMap<usize, VecDeque<JobId>> {
+fn queues(lead: &Lead, picture: &Snapshot, firm: bool) -> BTreeMap<usize, VecDeque<JobId>> {
     let jobs = lead.waiting(picture.now.time);
     let mut queues: BTreeMap<usize, VecDeque<JobId>> = BTreeMap::new();
     for job in jobs {
-        if picture.taken(&job.spec.id) >= job.free_tasks() as usize {
+        let placed = picture.taken(&job.spec.id) >= job.free_tasks() as usize;
+        if placed || job.evictable() == firm {
             continue;
         }
         if let Some(leaf) = lead.tree.find(&job.spec.team) {
@@ -72,7 +74,14 @@
 /// Decides placements. With `picky`, work whose start can't wait for a fetch is left alone where
 /// its image is not at hand: room may yet be made for it where it is.
 pub fn allocate(lead: &Lead, picture: &mut Snapshot, picky: bool) -> Vec<Placement> {
-    let mut queues = queues(lead, picture);
+    let mut placed = allocate_tier(lead, picture, true, picky);
+    picture.hold_reserve(lead);
+    placed.extend(allocate_tier(lead, picture, false, picky));
+    placed
+}
+
+fn allocate_tier(lead: &Lead, picture: &mut Snapshot, firm: bool, picky: bool) -> Vec<Placement> {
+    let mut queues = queues(lead, picture, firm);
     let mut refused: HashSet<Shape> = HashSet::new();
     let mut placed = Vec::new();
     loop {
--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -208,7 +208,11 @@
             let ran = e.running.map_or(0, |t| (now - t).0);
             // What can save loses little but the time to save; both must start again.
             let saved = victim.spec.checkpoint_s > 0.0;
-            let ran = if saved { ran.min(Span::secs(victim.spec.save_s).0) } else { ran };
+            let ran = if saved {
+                ran.min(Span::secs(victim.spec.save_s).0)
+            } else {
+                ran
+            };
             let loss = ran + RESTART.0;
             (whole && victim.evictable()).then(|| Victim {
                 task: e.task.clone(),
--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -25,7 +25,12 @@
 
 /// Whether one more task of the job fits on a machine.
 pub fn fits(lead: &Lead, picture: &Snapshot, job: &Job, spot: &Spot) -> bool {
-    spot.free.holds(&job.need) && suits(lead, picture, job, spot)
+    let free = if job.evictable() {
+        spot.free - spot.held
+    } else {
+        spot.free
+    };
+    free.holds(&job.need) && suits(lead, picture, job, spot)
 }
 
 /// Whether one more task of the job may go on a machine if there is room.
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -83,7 +83,9 @@
     }
 
     fn is_open(&self, offer: &Offer, now: Time) -> bool {
-        self.refused.get(offer).is_none_or(|(until, _)| now >= *until)
+        self.refused
+            .get(offer)
+            .is_none_or(|(until, _)| now >= *until)
     }
 
     /// A machine was returned, so another like it can be had again.
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -12,7 +12,7 @@
 use crate::units::{Now, Resources, Span, Time, Wall};
 use rudderreel_wire::cloud::{Catalog, MachineType};
 use rudderreel_wire::ids::{
-    Attempt, Class, Epoch, JobId, LeaseId, MachineId, NodeName, TaskId, TypeName, Version,
+    Attempt, Class, Epoch, Image, JobId, LeaseId, MachineId, NodeName, TaskId, TypeName, Version,
 };
 use rudderreel_wire::job::{JobSpec, Kind};
 use rudderreel_wire::settings::Settings;
@@ -96,12 +96,14 @@
 const ENTRY_BYTES: usize = 48;
 
 /// Room to be kept for urgent work.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Reserve {
     /// What one task takes.
     pub need: Resources,
     /// How many may come.
     pub tasks: u32,
+    /// The images that they may need.
+    pub images: BTreeSet<Image>,
 }
 
 impl Lead {
@@ -739,7 +741,7 @@
         let boot = (self.catalog.types.iter())
             .map(|t| t.boot_s)
             .fold(0.0, f64::max);
-        let mut came: Vec<(Resources, u32)> = Vec::new();
+        let mut came: Vec<(Resources, u32, BTreeSet<Image>)> = Vec::new();
         for job in self
             .jobs
             .values()
@@ -747,18 +749,24 @@
         {
             let urgent = (self.wait_aims.get(&job.spec.class)).is_some_and(|w| w.as_secs() < boot);
             let age = Span(now.wall.0.saturating_sub(job.submitted.0));
-            if !urgent || age > LATELY || job.spec.kind != Kind::Service {
+            if !urgent || job.spec.kind != Kind::Service {
                 continue;
             }
-            match came.iter_mut().find(|(need, _)| *need == job.need) {
-                Some((_, n)) => *n += job.spec.tasks,
-                None => came.push((job.need, job.spec.tasks)),
+            let tasks = if age > LATELY { 0 } else { job.spec.tasks };
+            let image = job.spec.image.clone();
+            match came.iter_mut().find(|(need, ..)| *need == job.need) {
+                Some((_, n, images)) => {
+                    *n += tasks;
+                    images.insert(image);
+                }
+                None => came.push((job.need, tasks, BTreeSet::from([image]))),
             }
         }
         let per_boot = |n: u32| f64::from(n) * boot / LATELY.as_secs();
         (came.into_iter())
-            .map(|(need, n)| Reserve {
+            .map(|(need, n, images)| Reserve {
                 need,
+                images,
                 tasks: (per_boot(n) + 2.0 * per_boot(n).sqrt()).ceil() as u32,
             })
             .collect()
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -34,6 +34,8 @@
     pub slots: usize,
     /// Room of work that could be evicted for work of the highest priority.
     pub evictable: Resources,
+    /// Free room that is held back from evictable work.
+    pub held: Resources,
 }
 
 /// The picture.
@@ -216,6 +218,32 @@
         })
     }
 
+    /// Holds free room back for urgent work that may come before a machine could be had, where its
+    /// image is. A single team needs none: its own work yields by priority.
+    pub fn hold_reserve(&mut self, lead: &Lead) {
+        if lead.tree.nodes.len() <= 2 {
+            return;
+        }
+        for spot in &mut self.spots {
+            spot.held = Resources::default();
+        }
+        for reserve in lead.reserve(self.now) {
+            for _ in 0..reserve.tasks {
+                let place = (self.spots.iter_mut())
+                    .filter(|s| (s.free - s.held).holds(&reserve.need))
+                    .filter(|s| s.room.gpus == 0 && !s.spot)
+                    .min_by_key(|s| {
+                        let images = reserve.images.iter().filter(|i| s.images.contains(*i));
+                        (std::cmp::Reverse(images.count()), (s.free - s.held).cpus)
+                    });
+                match place {
+                    Some(spot) => spot.held += reserve.need,
+                    None => break,
+                }
+            }
+        }
+    }
+
     /// How full a team is.
     pub fn saturation(&self, leaf: usize) -> f64 {
         crate::fair_share::saturation(&self.used[leaf], &self.share[leaf])
@@ -256,5 +284,6 @@
         jobs,
         slots: lead.max_entries.saturating_sub(machine.entries.len()),
         evictable,
+        held: Resources::default(),
     }
 }
