--- /dev/null
+++ b/crates/core/tests/sim/stores.rs
@@ -0,0 +1,265 @@
+//! Stand-ins for the state service and the cloud, plain and small.
+
+use rudderreel_core::{CloudAnswer, CloudCall, StateAnswer, StateCall, Value};
+use rudderreel_wire::cloud::{
+    Catalog, ListedMachine, ListedState, MachineNames, MachinePage, MachineType, Rent,
+};
+use rudderreel_wire::ids::{LeaseId, MachineId, Version};
+use rudderreel_wire::state::{Change, Event, Item, Page};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The state service.
+#[derive(Default)]
+pub struct Store {
+    keys: BTreeMap<String, Item<Value>>,
+    log: Vec<(u64, Event<Value>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    revision: u64,
+    next_lease: u64,
+    pub down: bool,
+}
+
+impl Store {
+    /// Starts or ends an outage; when it ends, every lease has its full time again.
+    pub fn set_down(&mut self, down: bool, now: u64) {
+        if self.down && !down {
+            for (ttl, until) in self.leases.values_mut() {
+                *until = now + *ttl;
+            }
+        }
+        self.down = down;
+    }
+
+    fn expire(&mut self, now: u64) {
+        let over: Vec<u64> = (self.leases.iter())
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.end(id);
+        }
+    }
+
+    fn end(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = (self.keys.values())
+            .filter(|i| i.lease == Some(LeaseId(id)))
+            .map(|i| i.key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(key);
+        }
+    }
+
+    fn remove(&mut self, key: String) {
+        if self.keys.remove(&key).is_some() {
+            let version = Version(self.revision);
+            self.log
+                .push((self.revision, Event::Delete { key, version }));
+        }
+    }
+
+    /// Changes of the shared prefix after a revision, if there are any.
+    pub fn since(&mut self, after: Version) -> Option<(Version, Vec<Event<Value>>)> {
+        let shared = |event: &Event<Value>| match event {
+            Event::Put { key, .. } | Event::Delete { key, .. } => key.starts_with("pub/"),
+        };
+        let events: Vec<Event<Value>> = (self.log.iter())
+            .filter(|(revision, event)| *revision > after.0 && shared(event))
+            .map(|(_, event)| event.clone())
+            .collect();
+        (!events.is_empty()).then(|| (Version(self.revision), events))
+    }
+
+    pub fn call(&mut self, call: &StateCall, now: u64) -> StateAnswer {
+        if self.down {
+            return StateAnswer::Refused;
+        }
+        self.expire(now);
+        match call {
+            StateCall::Get(key) => match self.keys.get(key) {
+                Some(item) => StateAnswer::Found(item.clone()),
+                None => StateAnswer::Missing,
+            },
+            StateCall::List(prefix, after) => {
+                let later = |key: &String| after.as_ref().is_none_or(|a| key > a);
+                let mut items: Vec<Item<Value>> = (self.keys.values())
+                    .filter(|i| i.key.starts_with(prefix) && later(&i.key))
+                    .cloned()
+                    .collect();
+                // Small pages, so that paging is met.
+                let more = items.len() > 10;
+                items.truncate(10);
+                let revision = Version(self.revision);
+                StateAnswer::Page(Page {
+                    items,
+                    more,
+                    revision,
+                })
+            }
+            StateCall::Commit(t) => {
+                let version = |key: &String| self.keys.get(key).map_or(Version(0), |i| i.version);
+                let failed: Vec<String> = (t.conditions.iter())
+                    .filter(|c| version(&c.key) != c.version)
+                    .map(|c| c.key.clone())
+                    .collect();
+                let dead = t.changes.iter().any(|c| match c {
+                    Change::Put { lease, .. } => {
+                        lease.is_some_and(|l| !self.leases.contains_key(&l.0))
+                    }
+                    Change::Delete { .. } => false,
+                });
+                if dead {
+                    return StateAnswer::NoSuchLease;
+                }
+                if !failed.is_empty() {
+                    return StateAnswer::Conflict(failed);
+                }
+                if !t.changes.is_empty() {
+                    self.revision += 1;
+                }
+                for change in &t.changes {
+                    self.apply(change);
+                }
+                StateAnswer::Committed(Version(self.revision))
+            }
+            StateCall::NewLease(ttl) => {
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (*ttl, now + ttl));
+                StateAnswer::Lease(LeaseId(self.next_lease))
+            }
+            StateCall::Renew(id) => match self.leases.get_mut(&id.0) {
+                Some((ttl, until)) => {
+                    *until = now + *ttl;
+                    StateAnswer::Done
+                }
+                None => StateAnswer::Missing,
+            },
+            StateCall::EndLease(id) => {
+                self.end(id.0);
+                StateAnswer::Done
+            }
+        }
+    }
+
+    fn apply(&mut self, change: &Change<Value>) {
+        let version = Version(self.revision);
+        match change {
+            Change::Put { key, value, lease } => {
+                let (key, value) = (key.clone(), value.clone());
+                let event = Event::Put {
+                    key: key.clone(),
+                    value: value.clone(),
+                    version,
+                };
+                self.log.push((self.revision, event));
+                let item = Item {
+                    key: key.clone(),
+                    value,
+                    version,
+                    lease: *lease,
+                };
+                self.keys.insert(key, item);
+            }
+            Change::Delete { key } => self.remove(key.clone()),
+        }
+    }
+}
+
+/// The cloud: one type, two zones, few spot machines.
+#[derive(Default)]
+pub struct Cloud {
+    asked: BTreeMap<String, Vec<MachineId>>,
+    machines: BTreeMap<MachineId, (Rent, u64)>,
+    up: BTreeSet<MachineId>,
+    next: u32,
+}
+
+const MOST: usize = 10;
+const BOOT_MS: u64 = 4_000;
+
+impl Cloud {
+    pub fn has(&self, id: &MachineId) -> bool {
+        self.machines.contains_key(id)
+    }
+
+    /// Machines that have come up since the last time.
+    pub fn booted(&mut self, now: u64) -> Vec<(MachineId, Rent)> {
+        let new: Vec<(MachineId, Rent)> = (self.machines.iter())
+            .filter(|(id, (_, at))| now >= at + BOOT_MS && !self.up.contains(*id))
+            .map(|(id, (rent, _))| (id.clone(), rent.clone()))
+            .collect();
+        self.up.extend(new.iter().map(|(id, _)| id.clone()));
+        new
+    }
+
+    pub fn call(&mut self, call: &CloudCall, now: u64) -> CloudAnswer {
+        match call {
+            CloudCall::Catalog => CloudAnswer::Catalog(Catalog {
+                types: vec![MachineType {
+                    name: "m4".into(),
+                    cpus: 4.0,
+                    gpus: 0.0,
+                    memory_gb: 16.0,
+                    cache_gb: 10.0,
+                    fetch_gb_per_s: 1.0,
+                    price: 1.0,
+                    spot_price: Some(0.3),
+                    boot_s: 4.0,
+                    zones: vec!["a".into(), "b".into()],
+                }],
+            }),
+            CloudCall::Rent(rent) => {
+                if let Some(machines) = self.asked.get(&rent.request) {
+                    let machines = machines.clone();
+                    return CloudAnswer::Rented(MachineNames { machines });
+                }
+                let room = MOST
+                    .saturating_sub(self.machines.len())
+                    .min(rent.count as usize);
+                if room == 0 {
+                    return CloudAnswer::NoCapacity;
+                }
+                let machines: Vec<MachineId> = (0..room).map(|_| self.add(rent, now)).collect();
+                self.asked.insert(rent.request.clone(), machines.clone());
+                CloudAnswer::Rented(MachineNames { machines })
+            }
+            CloudCall::Return(names) => {
+                for id in &names.machines {
+                    self.machines.remove(id);
+                }
+                CloudAnswer::Returned
+            }
+            CloudCall::List(after) => {
+                let machines = (self.machines.iter())
+                    .filter(|(id, (_, at))| {
+                        now >= at + 3_000 && after.as_ref().is_none_or(|a| *id > a)
+                    })
+                    .map(|(id, (rent, at))| ListedMachine {
+                        id: id.clone(),
+                        addr: None,
+                        machine_type: rent.machine_type.clone(),
+                        zone: rent.zone.clone(),
+                        spot: rent.spot,
+                        state: ListedState::Running,
+                        age_s: (now - at) as f64 / 1000.0,
+                    })
+                    .collect();
+                CloudAnswer::Page(MachinePage {
+                    machines,
+                    more: false,
+                })
+            }
+        }
+    }
+
+    fn add(&mut self, rent: &Rent, now: u64) -> MachineId {
+        self.next += 1;
+        let id = MachineId::from(format!("vm-{:06}", self.next).as_str());
+        self.machines.insert(id.clone(), (rent.clone(), now));
+        id
+    }
+}
--- /dev/null
+++ b/crates/core/tests/sim/worker.rs
@@ -0,0 +1,169 @@
+//! A stand-in for a worker, by the protocol: sessions, leases, tokens, commands.
+
+use super::world::Told;
+use rudderreel_wire::cloud::Rent;
+use rudderreel_wire::ids::{Attempt, Epoch, JobId, MachineId, Seq, Session, TaskId};
+use rudderreel_wire::job::Kind;
+use rudderreel_wire::worker::{Cause, Command, Report, TaskReport, TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub struct Task {
+    pub task: TaskId,
+    attempt: Attempt,
+    state: TaskState,
+    why: Option<Cause>,
+    since: u64,
+    service: bool,
+    gang: Option<u32>,
+}
+
+impl Task {
+    pub fn on_machine(&self) -> bool {
+        matches!(self.state, TaskState::Running | TaskState::Saving)
+    }
+}
+
+pub struct Worker {
+    id: MachineId,
+    rent: Rent,
+    pub session: Session,
+    seq: u64,
+    pub token: Epoch,
+    /// When the last answered report was sent.
+    pub answered: u64,
+    pub tasks: BTreeMap<(TaskId, Attempt), Task>,
+    pub node: usize,
+    pub cut_until: u64,
+    pub starts: u32,
+}
+
+const FETCH_MS: u64 = 500;
+const RUN_MS: u64 = 4_000;
+
+impl Worker {
+    pub fn new(id: MachineId, rent: Rent, now: u64) -> Self {
+        Self {
+            id,
+            rent,
+            session: Session(1),
+            seq: 0,
+            token: Epoch(0),
+            answered: now,
+            tasks: BTreeMap::new(),
+            node: 0,
+            cut_until: 0,
+            starts: 0,
+        }
+    }
+
+    pub fn zone(&self) -> &str {
+        self.rent.zone.as_str()
+    }
+
+    pub fn is_spot(&self) -> bool {
+        self.rent.spot
+    }
+
+    /// Kills everything once the lease has run out.
+    pub fn expire(&mut self, now: u64, lease: u64) {
+        if now > self.answered + lease {
+            self.tasks.clear();
+            self.session.0 += 1;
+            self.answered = now;
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "10.2.0.1:1".into(),
+            machine_type: self.rent.machine_type.clone(),
+            zone: self.rent.zone.clone(),
+            spot: self.rent.spot,
+            session: self.session,
+            seq: Seq(self.seq),
+            token: self.token,
+            notice_s: None,
+            tasks: (self.tasks.values())
+                .map(|t| TaskReport {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Lets tasks go on.
+    pub fn work(&mut self, now: u64, results: &mut BTreeMap<JobId, BTreeSet<u32>>) {
+        for task in self.tasks.values_mut() {
+            if task.state == TaskState::Fetching && now > task.since + FETCH_MS {
+                task.state = TaskState::Running;
+                task.since = now;
+            } else if task.state == TaskState::Running && !task.service && now > task.since + RUN_MS
+            {
+                task.state = TaskState::Exited;
+                task.why = Some(Cause::Done);
+                let done = results.entry(task.task.job.clone()).or_default();
+                // A gang completes together: if one task is done, so are all.
+                match task.gang {
+                    Some(tasks) => done.extend(0..tasks),
+                    None => done.extend([task.task.index]),
+                }
+            }
+        }
+    }
+
+    pub fn obey(&mut self, command: &Command, jobs: &BTreeMap<JobId, Told>, now: u64) {
+        match command {
+            Command::Start { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                if self.tasks.contains_key(&key) {
+                    return;
+                }
+                let job = &jobs[&task.job];
+                let need: f64 = (self.tasks.values())
+                    .filter(|t| t.state != TaskState::Exited)
+                    .map(|t| jobs[&t.task.job].spec.cpus)
+                    .sum();
+                let room = need + job.spec.cpus <= 4.0;
+                self.starts += u32::from(room);
+                let new = Task {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: if room {
+                        TaskState::Fetching
+                    } else {
+                        TaskState::Exited
+                    },
+                    why: (!room).then_some(Cause::NoRoom),
+                    since: now,
+                    service: job.spec.kind == Kind::Service,
+                    gang: (job.spec.kind == Kind::Gang).then_some(job.spec.tasks),
+                };
+                self.tasks.insert(key, new);
+            }
+            Command::Stop { task, attempt, .. } => {
+                if let Some(task) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                    if task.state != TaskState::Exited {
+                        task.state = TaskState::Exited;
+                        task.why = Some(Cause::Stopped);
+                    }
+                }
+            }
+            Command::Forget { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                if self
+                    .tasks
+                    .get(&key)
+                    .is_some_and(|t| t.state == TaskState::Exited)
+                {
+                    self.tasks.remove(&key);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/sim/world.rs
@@ -0,0 +1,702 @@
+//! A small world round the core: stand-ins for the state service, the cloud, workers and users,
+//! on a network that delays, loses and reorders, with nodes that crash and clocks that drift. The
+//! rules of the protocol are checked as it goes.
+
+use super::stores::{Cloud, Store};
+use super::worker::Worker;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rudderreel_core::units::{Now, Time, Wall};
+use rudderreel_core::{
+    CallId, Core, DirectOutcome, Input, Output, ReqId, StateAnswer, UserRequest,
+};
+use rudderreel_wire::ids::{JobId, MachineId, Version};
+use rudderreel_wire::job::{JobSpec, JobState, Kind};
+use rudderreel_wire::peer::{Forward, HeartbeatReply};
+use rudderreel_wire::settings::Settings;
+use rudderreel_wire::worker::{DirectCommands, ReportElsewhere, ReportReply};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Who waits for the answer to a request.
+enum Asker {
+    Worker(MachineId, u64),
+    User(JobId, Asked),
+    Peer(usize, ReqId),
+    Beat(usize, Time),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Asked {
+    Submit,
+    Status,
+    Withdraw,
+}
+
+enum Event {
+    Tick(usize, u32),
+    Input(usize, u32, Input),
+    State(usize, u32, CallId, Time, rudderreel_core::StateCall),
+    Late(rudderreel_core::StateCall),
+    Watch(usize, u32, Version),
+    Cloud(usize, u32, CallId, rudderreel_core::CloudCall),
+    Direct(usize, u32, MachineId, DirectCommands, bool),
+    Beat(usize, usize, u32, rudderreel_wire::peer::Heartbeat),
+    Forward(usize, usize, u32, ReqId, Forward),
+    Report(MachineId),
+    Answer(MachineId, u64, u64, u16, String),
+    User,
+    Fault,
+    Restart(usize),
+}
+
+struct Node {
+    core: Option<Core>,
+    life: u32,
+    drift: f64,
+    offset: u64,
+    next_req: u64,
+    askers: BTreeMap<ReqId, Asker>,
+    cut_state_until: u64,
+    cut_peers_until: u64,
+    cut_workers_until: u64,
+}
+
+/// What users know of a job.
+pub struct Told {
+    pub spec: JobSpec,
+    pub accepted: bool,
+    pub last: Option<JobState>,
+    pub cancelled_at: Option<u64>,
+}
+
+pub struct World {
+    pub now: u64,
+    rng: StdRng,
+    settings: Vec<Settings>,
+    nodes: Vec<Node>,
+    pub store: Store,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<MachineId, Worker>,
+    pub jobs: BTreeMap<JobId, Told>,
+    pub results: BTreeMap<JobId, BTreeSet<u32>>,
+    queue: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    next_job: u32,
+    pub faults: bool,
+    pub starts: u32,
+    pub max_jobs: u32,
+}
+
+const LEASE_MS: u64 = 6_000;
+const CANCEL_MS: u64 = 20_000;
+
+fn settings(me: usize) -> Settings {
+    let mut text = format!(
+        "node = \"n{me}\"\ndomain = \"z{me}\"\nfront = \"10.0.0.{me}:1\"\npeer_bind = \"10.0.0.{me}:2\"\n"
+    );
+    for other in (0..3).filter(|o| *o != me) {
+        text += &format!(
+            "[[members]]\nnode = \"n{other}\"\ndomain = \"z\"\nendpoint = \"10.0.0.{other}:2\"\n"
+        );
+    }
+    text += "[outside]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n[params]\nnodes = 3\n\
+        zones = [\"a\", \"b\"]\n[[params.teams]]\nname = \"red\"\ncpus = 6.0\ncpus_max = 12.0\n\
+        [[params.teams]]\nname = \"blue\"\ncpus = 6.0\ncpus_max = 20.0\n\
+        [params.workers]\nreport_s = 1.0\nlease_s = 6.0\ngang_wait_s = 10.0\ngang_peer_s = 2.0\n\
+        cancel_s = 20.0\n[params.state]\nrps = 200.0\nwrite_rps = 50.0\nvalue_kb = 16.0\n\
+        txn_ops = 8\n[params.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n";
+    Settings::parse(&text).expect("the settings are valid")
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let settings: Vec<Settings> = (0..3).map(settings).collect();
+        let nodes = (0..3).map(|_| Node {
+            core: None,
+            life: 0,
+            drift: 1.0 + rng.random_range(-0.0005..0.0005),
+            offset: rng.random_range(1_000_000..2_000_000),
+            next_req: 0,
+            askers: BTreeMap::new(),
+            cut_state_until: 0,
+            cut_peers_until: 0,
+            cut_workers_until: 0,
+        });
+        let mut world = Self {
+            now: 10_000,
+            nodes: nodes.collect(),
+            rng,
+            settings,
+            store: Store::default(),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            results: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            next_event: 0,
+            next_job: 0,
+            faults: false,
+            starts: 0,
+            max_jobs: 24,
+        };
+        for node in 0..3 {
+            world.start(node);
+        }
+        world.after(500, Event::User);
+        world.after(5_000, Event::Fault);
+        world
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.next_event += 1;
+        self.queue
+            .insert((self.now + delay, self.next_event), event);
+    }
+
+    fn hop(&mut self) -> u64 {
+        if self.faults && self.rng.random_bool(0.01) {
+            return self.rng.random_range(200..900);
+        }
+        self.rng.random_range(1..6)
+    }
+
+    fn start(&mut self, node: usize) {
+        self.nodes[node].core = Some(Core::new(self.settings[node].clone()));
+        self.nodes[node].life += 1;
+        self.nodes[node].askers.clear();
+        let life = self.nodes[node].life;
+        self.after(1, Event::Tick(node, life));
+    }
+
+    fn crash(&mut self, node: usize) {
+        self.nodes[node].core = None;
+        let back = self.rng.random_range(100..4_000);
+        self.after(back, Event::Restart(node));
+    }
+
+    fn clock(&self, node: usize) -> Now {
+        let n = &self.nodes[node];
+        Now {
+            time: Time((self.now as f64 * n.drift) as u64 + n.offset),
+            wall: Wall(1_790_000_000_000 + self.now),
+        }
+    }
+
+    /// Runs until a moment.
+    pub fn run_until(&mut self, end: u64) {
+        while let Some((&(at, id), _)) = self.queue.first_key_value() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            if let Some(event) = self.queue.remove(&(at, id)) {
+                self.handle(event);
+            }
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(node, life) => {
+                if self.alive(node, life) {
+                    self.step(node, Input::Tick);
+                    self.after(20, Event::Tick(node, life));
+                }
+            }
+            Event::Input(node, life, input) => {
+                if self.alive(node, life) {
+                    self.step(node, input);
+                }
+            }
+            Event::State(node, life, id, sent, call) => self.state(node, life, id, sent, call),
+            Event::Late(call) => {
+                self.store.call(&call, self.now);
+            }
+            Event::Watch(node, life, after) => self.watch(node, life, after),
+            Event::Cloud(node, life, id, call) => {
+                let answer = self.cloud.call(&call, self.now);
+                self.new_machines();
+                let hop = 40 + self.hop();
+                self.after(hop, Event::Input(node, life, Input::Cloud(id, answer)));
+            }
+            Event::Direct(node, life, id, body, late) => self.direct(node, life, id, body, late),
+            Event::Beat(from, to, life, beat) => {
+                if self.alive(from, life)
+                    && self.nodes[to].core.is_some()
+                    && self.connected(from, to)
+                {
+                    let req = self.ask(to, Asker::Beat(from, self.clock(from).time));
+                    self.step(to, Input::Heartbeat(req, beat));
+                }
+            }
+            Event::Forward(from, to, life, req, forward) => {
+                if self.nodes[to].core.is_none() || !self.connected(from, to) {
+                    let input = Input::ForwardReply(req, None);
+                    return self.after(500, Event::Input(from, life, input));
+                }
+                let request = match forward {
+                    Forward::Submit(text) => serde_json::from_str(&text).map(UserRequest::Submit),
+                    Forward::Status(id) => Ok(UserRequest::Status(id.parse().expect("an id"))),
+                    Forward::Withdraw(id) => Ok(UserRequest::Withdraw(id.parse().expect("an id"))),
+                };
+                let asked = self.ask(to, Asker::Peer(from, req));
+                self.step(to, Input::Forwarded(asked, request.expect("a job")));
+            }
+            Event::Report(id) => self.report(&id),
+            Event::Answer(id, session, sent, status, body) => {
+                self.answered(&id, session, sent, status, &body)
+            }
+            Event::User => self.user(),
+            Event::Fault => self.fault(),
+            Event::Restart(node) => {
+                if self.nodes[node].core.is_none() {
+                    self.start(node);
+                }
+            }
+        }
+        self.check();
+    }
+
+    fn alive(&self, node: usize, life: u32) -> bool {
+        self.nodes[node].core.is_some() && self.nodes[node].life == life
+    }
+
+    fn connected(&self, a: usize, b: usize) -> bool {
+        self.now >= self.nodes[a].cut_peers_until && self.now >= self.nodes[b].cut_peers_until
+    }
+
+    fn ask(&mut self, node: usize, asker: Asker) -> ReqId {
+        let n = &mut self.nodes[node];
+        n.next_req += 1;
+        let id = ReqId(n.next_req + (u64::from(n.life) << 32));
+        n.askers.insert(id, asker);
+        id
+    }
+
+    fn step(&mut self, node: usize, input: Input) {
+        let now = self.clock(node);
+        let life = self.nodes[node].life;
+        let Some(core) = self.nodes[node].core.as_mut() else {
+            return;
+        };
+        for output in core.step(input, now) {
+            let hop = self.hop();
+            match output {
+                Output::Answer {
+                    req, status, body, ..
+                } => self.answer(node, req, status, body),
+                Output::AnswerHeartbeat(req, reply) => self.beat_back(node, req, reply),
+                Output::State(id, call) => {
+                    self.after(hop, Event::State(node, life, id, now.time, call))
+                }
+                Output::Watch(after) => self.after(hop, Event::Watch(node, life, after)),
+                Output::Cloud(id, call) => self.after(hop, Event::Cloud(node, life, id, call)),
+                Output::Direct { machine, body, .. } => {
+                    self.after(hop, Event::Direct(node, life, machine, body, false))
+                }
+                Output::Heartbeat(beat) => {
+                    for to in (0..3).filter(|to| *to != node) {
+                        self.after(hop, Event::Beat(node, to, life, beat.clone()));
+                    }
+                }
+                Output::Forward(peer, req, forward) => {
+                    let to = (0..3)
+                        .find(|i| self.settings[*i].node == peer)
+                        .expect("a peer");
+                    self.after(hop, Event::Forward(node, to, life, req, forward));
+                }
+            }
+        }
+    }
+
+    fn beat_back(&mut self, node: usize, req: ReqId, reply: HeartbeatReply) {
+        if let Some(Asker::Beat(from, sent)) = self.nodes[node].askers.remove(&req) {
+            let life = self.nodes[from].life;
+            let hop = self.hop();
+            // The time that it was sent is taken a little late here, which is the worse case only
+            // for the leader's own doubt; the real shell takes it before sending.
+            self.after(
+                hop,
+                Event::Input(from, life, Input::HeartbeatReply(sent, reply)),
+            );
+        }
+    }
+
+    fn state(
+        &mut self,
+        node: usize,
+        life: u32,
+        id: CallId,
+        sent: Time,
+        call: rudderreel_core::StateCall,
+    ) {
+        let hop = self.hop();
+        let cut = self.now < self.nodes[node].cut_state_until;
+        let answer = if self.store.down || cut {
+            StateAnswer::Refused
+        } else if self.faults && self.rng.random_bool(0.01) {
+            // The answer is lost; the call may be carried out, now, later or never.
+            let delay = self.rng.random_range(0..8_000);
+            if self.rng.random_bool(0.7) {
+                self.after(delay, Event::Late(call));
+            }
+            self.after(
+                1_000,
+                Event::Input(node, life, Input::State(id, sent, StateAnswer::Unknown)),
+            );
+            return;
+        } else {
+            self.store.call(&call, self.now)
+        };
+        self.after(
+            hop,
+            Event::Input(node, life, Input::State(id, sent, answer)),
+        );
+    }
+
+    fn watch(&mut self, node: usize, life: u32, after: Version) {
+        if !self.alive(node, life) {
+            return;
+        }
+        let cut = self.store.down || self.now < self.nodes[node].cut_state_until;
+        match (!cut).then(|| self.store.since(after)).flatten() {
+            Some((revision, events)) => {
+                let hop = self.hop();
+                self.after(
+                    hop,
+                    Event::Input(node, life, Input::Watched(revision, events)),
+                );
+            }
+            None => self.after(20, Event::Watch(node, life, after)),
+        }
+    }
+
+    fn direct(&mut self, node: usize, life: u32, id: MachineId, body: DirectCommands, late: bool) {
+        let cut = self.now < self.nodes[node].cut_workers_until;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            let input = Input::Direct(id, body, DirectOutcome::Unknown);
+            return self.after(800, Event::Input(node, life, input));
+        };
+        if !late
+            && (cut || worker.cut_until > self.now || self.rng.random_bool(0.02))
+            && self.faults
+        {
+            // Held back, and carried out later; the sender has given up by then.
+            let delay = self.rng.random_range(1_000..9_000);
+            let held = Event::Direct(node, u32::MAX, id.clone(), body.clone(), true);
+            self.after(delay, held);
+            let input = Input::Direct(id, body, DirectOutcome::Unknown);
+            return self.after(800, Event::Input(node, life, input));
+        }
+        worker.expire(self.now, LEASE_MS);
+        let done = body.token >= worker.token && body.session == worker.session;
+        if done {
+            worker.token = body.token;
+            for command in &body.commands {
+                worker.obey(command, &self.jobs, self.now);
+            }
+        }
+        let report = Box::new(worker.report());
+        let outcome = if done {
+            DirectOutcome::Executed(report)
+        } else {
+            DirectOutcome::Rejected(Some(report))
+        };
+        let hop = self.hop();
+        self.after(
+            hop,
+            Event::Input(node, life, Input::Direct(id, body, outcome)),
+        );
+    }
+
+    fn new_machines(&mut self) {
+        for (id, offer) in self.cloud.booted(self.now) {
+            let worker = Worker::new(id.clone(), offer, self.now);
+            self.workers.insert(id.clone(), worker);
+            self.after(10, Event::Report(id));
+        }
+        let cloud = &self.cloud;
+        self.workers.retain(|id, _| cloud.has(id));
+    }
+
+    fn report(&mut self, id: &MachineId) {
+        self.new_machines();
+        let next = self.rng.random_range(700..1_200);
+        let life = self
+            .workers
+            .get(id)
+            .map(|w| w.node)
+            .map(|n| self.nodes[n].life);
+        let results = &mut self.results;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.expire(self.now, LEASE_MS);
+        worker.work(self.now, results);
+        let node = worker.node;
+        let report = worker.report();
+        let session = worker.session.0;
+        let cut = worker.cut_until > self.now || self.nodes[node].cut_workers_until > self.now;
+        self.after(next, Event::Report(id.clone()));
+        if cut || self.nodes[node].core.is_none() {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.node = (node + 1) % 3;
+            }
+            return;
+        }
+        let sent = self.now;
+        let req = self.ask(node, Asker::Worker(id.clone(), sent | (session << 48)));
+        let late = self.faults && self.rng.random_bool(0.02);
+        let hop = if late {
+            self.rng.random_range(2_000..9_000)
+        } else {
+            self.hop()
+        };
+        let input = Input::Report(req, Box::new(report));
+        self.after(hop, Event::Input(node, life.unwrap_or(0), input));
+    }
+
+    fn answer(&mut self, node: usize, req: ReqId, status: u16, body: String) {
+        let Some(asker) = self.nodes[node].askers.remove(&req) else {
+            return;
+        };
+        match asker {
+            Asker::Worker(id, tag) => {
+                let hop = self.hop();
+                let (sent, session) = (tag & 0xffff_ffff_ffff, tag >> 48);
+                self.after(hop, Event::Answer(id, session, sent, status, body));
+            }
+            Asker::User(id, asked) => self.told(&id, asked, status, &body),
+            Asker::Peer(from, req) => {
+                let hop = self.hop();
+                let life = self.nodes[from].life;
+                let input = Input::ForwardReply(req, Some((status, body)));
+                self.after(hop, Event::Input(from, life, input));
+            }
+            Asker::Beat(..) => {}
+        }
+    }
+
+    fn answered(&mut self, id: &MachineId, session: u64, sent: u64, status: u16, body: &str) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.expire(now, LEASE_MS);
+        if now > sent + 4_000 || worker.session.0 != session {
+            return;
+        }
+        match status {
+            200 => {
+                let reply: ReportReply = serde_json::from_str(body).expect("a reply");
+                if reply.token < worker.token {
+                    return;
+                }
+                worker.token = reply.token;
+                worker.answered = worker.answered.max(sent);
+                for command in &reply.commands {
+                    worker.obey(command, &self.jobs, now);
+                }
+            }
+            421 => {
+                let to: ReportElsewhere = serde_json::from_str(body).expect("a reply");
+                let to = to.report_to;
+                let found = (0..3).find(|i| Some(&self.settings[*i].node) == to.as_ref());
+                worker.node = found.unwrap_or((worker.node + 1) % 3);
+            }
+            _ => worker.node = (worker.node + 1) % 3,
+        }
+    }
+
+    // --- users ---
+
+    fn user(&mut self) {
+        let next = self.rng.random_range(100..400);
+        self.after(next, Event::User);
+        if self.next_job < self.max_jobs && self.rng.random_bool(0.15) {
+            self.next_job += 1;
+            let spec = self.new_job();
+            let told = Told {
+                spec: spec.clone(),
+                accepted: false,
+                last: None,
+                cancelled_at: None,
+            };
+            self.jobs.insert(spec.id.clone(), told);
+        }
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        if ids.is_empty() {
+            return;
+        }
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        let told = &self.jobs[&id];
+        let service = told.spec.kind == Kind::Service;
+        let asked = if !told.accepted || self.rng.random_bool(0.05) {
+            Asked::Submit
+        } else if self.rng.random_bool(if service { 0.05 } else { 0.02 }) {
+            Asked::Withdraw
+        } else {
+            Asked::Status
+        };
+        let request = match asked {
+            Asked::Submit => UserRequest::Submit(Box::new(told.spec.clone())),
+            Asked::Status => UserRequest::Status(id.clone()),
+            Asked::Withdraw => UserRequest::Withdraw(id.clone()),
+        };
+        let node = self.rng.random_range(0..3);
+        if self.nodes[node].core.is_some() {
+            let req = self.ask(node, Asker::User(id, asked));
+            self.step(node, Input::User(req, request));
+        }
+    }
+
+    fn new_job(&mut self) -> JobSpec {
+        let rng = &mut self.rng;
+        let kind = ["sweep", "gang", "standing"][rng.random_range(0..3)];
+        let team = ["red", "blue"][rng.random_range(0..2)];
+        let priority = if kind == "standing" { "prod" } else { "normal" };
+        let tasks = rng.random_range(1..5);
+        let together = kind == "gang" && rng.random_bool(0.5);
+        let scatter = kind == "standing" && rng.random_bool(0.5);
+        let value = serde_json::json!({
+            "id": format!("wk-{:06}", self.next_job), "reel": kind, "crew": team, "rig": kind,
+            "precedence": priority, "takes": tasks, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
+            "pressing": format!("img-{}", rng.random_range(0..2)), "pullGb": 0.5, "hulls": null,
+            "berth": null, "together": together, "scatter": scatter,
+            "driftwood": kind != "standing", "expectedS": 4.0, "snapshotS": 0.0, "stowS": 0.0,
+            "dueS": null});
+        serde_json::from_value(value).expect("a job")
+    }
+
+    fn told(&mut self, id: &JobId, asked: Asked, status: u16, body: &str) {
+        let now = self.now;
+        let told = self.jobs.get_mut(id).expect("a known job");
+        if status == 503 {
+            return;
+        }
+        if status == 404 {
+            assert!(!told.accepted, "forgotten: {id} got 404");
+            return;
+        }
+        assert!(
+            status == 200 || (status == 201 && asked == Asked::Submit),
+            "{id} got {status}: {body}"
+        );
+        let value: Value = serde_json::from_str(body).expect("JSON");
+        let state: JobState = serde_json::from_value(value["bearing"].clone()).expect("a state");
+        told.accepted = true;
+        if let Some(last @ (JobState::Done | JobState::Cancelled)) = told.last {
+            assert_eq!(state, last, "went_back: {id}");
+        }
+        if state == JobState::Done {
+            let done = self.results.get(id).map_or(0, BTreeSet::len) as u32;
+            assert_eq!(done, told.spec.tasks, "not_done: {id} at {now}");
+        }
+        if state == JobState::Cancelled {
+            told.cancelled_at.get_or_insert(now);
+        }
+        told.last = Some(state);
+    }
+
+    // --- faults ---
+
+    fn fault(&mut self) {
+        let next = self.rng.random_range(1_500..6_000);
+        self.after(next, Event::Fault);
+        if !self.faults {
+            self.store.set_down(false, self.now);
+            return;
+        }
+        let node = self.rng.random_range(0..3);
+        let long = self.now + self.rng.random_range(1_000..15_000);
+        match self.rng.random_range(0..9) {
+            0 | 1 => self.crash(node),
+            2 => (0..3).for_each(|n| self.crash(n)),
+            3 => self.store.set_down(true, self.now),
+            4 => self.store.set_down(false, self.now),
+            5 => self.nodes[node].cut_state_until = long,
+            6 => self.nodes[node].cut_peers_until = long,
+            7 => self.nodes[node].cut_workers_until = long,
+            _ => {
+                let ids: Vec<MachineId> = self.workers.keys().cloned().collect();
+                for id in ids {
+                    if self.rng.random_bool(0.3) {
+                        if let Some(worker) = self.workers.get_mut(&id) {
+                            worker.cut_until = long;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    // --- the rules ---
+
+    fn check(&mut self) {
+        let mut places: BTreeMap<(JobId, u32), u32> = BTreeMap::new();
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut zones: BTreeMap<&JobId, BTreeMap<&str, u32>> = BTreeMap::new();
+        for worker in self.workers.values_mut() {
+            worker.expire(self.now, LEASE_MS);
+        }
+        self.starts = self
+            .workers
+            .values()
+            .map(|w| w.starts)
+            .sum::<u32>()
+            .max(self.starts);
+        for worker in self.workers.values() {
+            for task in worker.tasks.values().filter(|t| t.on_machine()) {
+                let told = &self.jobs[&task.task.job];
+                *places
+                    .entry((task.task.job.clone(), task.task.index))
+                    .or_default() += 1;
+                *used.entry(told.spec.team.as_str()).or_default() += told.spec.cpus;
+                let zone = zones.entry(&told.spec.id).or_default();
+                *zone.entry(worker.zone()).or_default() += 1;
+                if let Some(at) = told.cancelled_at {
+                    assert!(self.now <= at + CANCEL_MS, "ran_cancelled: {}", task.task);
+                }
+                assert!(
+                    told.spec.spot || !worker.is_spot(),
+                    "wrong_place: {}",
+                    task.task
+                );
+            }
+        }
+        for ((job, index), n) in places {
+            assert!(n < 2, "ran_twice: {job}/{index} at {}", self.now);
+        }
+        for (team, limit) in [("red", 12.0), ("blue", 20.0)] {
+            assert!(used.get(team).is_none_or(|u| *u <= limit), "quota: {team}");
+        }
+        for (job, zones) in zones {
+            let spec = &self.jobs[job].spec;
+            assert!(
+                !spec.one_zone || zones.len() < 2,
+                "wrong_place: {job} together"
+            );
+            assert!(
+                zones.values().all(|n| *n <= spec.zone_cap()),
+                "wrong_place: {job} scatter"
+            );
+        }
+    }
+
+    /// Ends all troubles.
+    pub fn calm(&mut self) {
+        self.faults = false;
+        self.store.set_down(false, self.now);
+        for node in &mut self.nodes {
+            node.cut_state_until = 0;
+            node.cut_peers_until = 0;
+            node.cut_workers_until = 0;
+        }
+        for worker in self.workers.values_mut() {
+            worker.cut_until = 0;
+        }
+    }
+}
