--- /dev/null
+++ b/crates/wire/tests/wire.rs
@@ -0,0 +1,93 @@
+//! The words on the wire, as the protocol writes them.
+
+use rudderreel_wire::cloud::{Catalog, MachinePage, Rent};
+use rudderreel_wire::job::{JobSpec, Kind, Priority};
+use rudderreel_wire::settings::Settings;
+use rudderreel_wire::state::{Events, Transaction};
+use rudderreel_wire::worker::{Command, DirectCommands, Report, ReportReply, TaskState};
+use serde::{de::DeserializeOwned, Serialize};
+use serde_json::{json, Value};
+
+/// Reads an example and writes it again: nothing may be lost or renamed.
+fn round<T: DeserializeOwned + Serialize>(example: Value) -> T {
+    let read: T = serde_json::from_value(example.clone()).expect("it is read");
+    assert_eq!(serde_json::to_value(&read).expect("it is written"), example);
+    read
+}
+
+#[test]
+fn examples_of_the_protocol_survive_a_round_trip() {
+    let job: JobSpec = round(
+        json!({"id":"wk-000412","reel":"train","crew":"vision","rig":"gang",
+        "precedence":"urgent","takes":16,"vcpus":8.0,"gpus":1.0,"memoryGb":64.0,
+        "pressing":"img-07","pullGb":6.2,"hulls":["g8"],"berth":null,"together":true,
+        "scatter":false,"driftwood":true,"expectedS":240.0,"snapshotS":30.0,"stowS":4.0,
+        "dueS":900.0}),
+    );
+    assert_eq!((job.kind, job.priority), (Kind::Gang, Priority::High));
+    let reply: ReportReply = round(json!({"helm":41,"orders":[
+        {"verb":"run","take":"wk-000412/4","launch":2},
+        {"verb":"stop","take":"wk-000377/1","launch":1,"slackS":10.0},
+        {"verb":"reap","take":"wk-000398/0","launch":1}]}));
+    assert!(matches!(reply.commands[1], Command::Stop { grace_s, .. } if grace_s == 10.0));
+    round::<DirectCommands>(json!({"helm":41,"watch":1,"orders":[]}));
+    round::<Rent>(json!({"charter":"r-17","hull":"g8","berth":"a","driftwood":true,"count":12}));
+    round::<Transaction<Value>>(json!({"if":[{"key":"a/b","stamp":0}],
+        "apply":[{"set":"a/b","data":{"x":[1]},"mooring":7},{"delete":"c/d"}]}));
+    round::<Events<Value>>(json!({"logline":433,"log":[
+        {"set":"c/9","data":{},"stamp":433},{"delete":"c/d","stamp":432}]}));
+}
+
+#[test]
+fn reports_are_read_with_fields_missing_or_unknown() {
+    let report: Report =
+        serde_json::from_value(json!({"deck":"vm-000231","addr":"10.1.0.232:9000",
+        "hull":"g8","berth":"a","driftwood":true,"watch":1,"tally":88,"new":1,
+        "takes":[{"take":"wk-000412/3","launch":2,"bearing":"gathering"}]}))
+        .expect("it is read");
+    assert_eq!(report.token.0, 0);
+    assert_eq!(report.tasks[0].state, TaskState::Waiting);
+    let page: MachinePage = serde_json::from_value(json!({"decks":[{"id":"vm-1","hull":"g8",
+        "berth":"a","driftwood":false,"bearing":"melting"}]}))
+    .expect("an unknown state is read");
+    assert!(!page.more);
+    let catalog: Catalog = serde_json::from_value(json!({"hulls":[{"label":"g8","vcpus":96,
+        "memoryGb":768,"rate":12.0}]}))
+    .expect("it is read");
+    assert_eq!(catalog.types[0].gpus, 0.0);
+}
+
+const SETTINGS: &str = "node = \"n0\"\ndomain = \"a\"\nfront = \"10.0.0.1:8080\"
+peer_bind = \"10.0.0.1:8081\"\nfuture = 1\n[outside]\ncloud = \"10.2.0.2:8443\"
+state = \"10.2.0.1:2379\"\n[params]\nnodes = 1\nclock_error_ms = 25.0\n[[params.teams]]
+name = \"ops\"\ncpus = 43.0\n[params.workers]\nreport_s = 2.5\nlease_s = 12.0
+gang_wait_s = 35.0\ngang_peer_s = 4.0\ncancel_s = 37.0\n[params.state]\nrps = 250.0
+write_rps = 25.0\nvalue_kb = 32.0\ntxn_ops = 20\n[params.cloud]\nrps = 4.0\nlist_lag_s = 10.0\n";
+
+#[test]
+fn settings_are_read_and_mistakes_are_named() {
+    let good = Settings::parse(SETTINGS).expect("good settings");
+    assert_eq!(good.params.teams[0].cpus, 43.0);
+    let cases = [
+        ("lease_s = 12.0", "lease_s = -1.0", "params.workers.lease_s"),
+        ("lease_s = 12.0", "lease_s = nan", "params.workers.lease_s"),
+        ("nodes = 1", "nodes = 3", "params.nodes"),
+        ("cpus = 43.0", "cpus = -43.0", "params.teams[0].cpus"),
+        (
+            "front = \"10.0.0.1:8080\"",
+            "front = \"here\"",
+            "socket address",
+        ),
+        ("lease_s = 12.0\n", "", "lease_s"),
+        ("node = \"n0\"", "node = \"\"", "`node`"),
+        ("rps = 250.0", "rps = \"many\"", "expected f64"),
+    ];
+    for (from, to, named) in cases {
+        let text = SETTINGS.replacen(from, to, 1);
+        let message = Settings::parse(&text).expect_err(to).to_string();
+        assert!(
+            message.contains(named) && !message.contains('\n'),
+            "{message}"
+        );
+    }
+}
