--- a/crates/core/tests/sim/stores.rs
+++ b/crates/core/tests/sim/stores.rs
@@ -71,7 +71,7 @@
             .filter(|(revision, event)| *revision > after.0 && shared(event))
             .map(|(_, event)| event.clone())
             .collect();
-        (!events.is_empty()).then(|| (Version(self.revision), events))
+        (!events.is_empty()).then_some((Version(self.revision), events))
     }
 
     pub fn call(&mut self, call: &StateCall, now: u64) -> StateAnswer {
