--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -10,9 +10,9 @@
 use crate::tree::{amounts, Amounts};
 use crate::units::{Now, Resources, Span, Time};
 use rudderreel_wire::cloud::{ListedMachine, ListedState, MachineNames, MachineType, Rent};
-use rudderreel_wire::ids::{JobId, MachineId, TypeName, Zone};
+use rudderreel_wire::ids::{Attempt, JobId, MachineId, TypeName, Zone};
 use rudderreel_wire::job::Kind;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A kind of machine on offer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,6 +72,8 @@
 /// a bound.
 const REFUSED: Span = Span(4_000);
 const REFUSED_MOST: u32 = 3;
+/// Why idle machines are returned.
+const IDLE: &str = "idle";
 /// Most machines of one request.
 const MOST: u32 = 50;
 
@@ -329,6 +331,7 @@
             .collect();
         let (lease, fence) = (self.lease, self.fence);
         let (led, silence, heard) = (now.time - self.since, self.silence(), self.hears(now.time));
+        let spare_only = self.spare_only();
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
             let age = Lead::age(machine, now.wall);
@@ -351,17 +354,22 @@
                 }
                 _ => {}
             }
-            if machine.entries.is_empty() {
+            let idle = machine.entries.is_empty() || spare_only.contains(&machine.id);
+            if !idle {
+                machine.idle = None;
+            } else {
                 let since = *machine.idle.get_or_insert(now.time);
-                let heard = machine.last_heard.is_some();
-                if heard && age > LEAST_CHARGE && now.time - since > KEEP_IDLE {
-                    machine.retire.get_or_insert("idle");
+                if machine.last_heard.is_some()
+                    && age > LEAST_CHARGE
+                    && now.time - since > KEEP_IDLE
+                {
+                    machine.retire.get_or_insert(IDLE);
                 }
             }
             let asked = machine
                 .returning
                 .is_some_and(|t| now.time - t < Span(5_000));
-            let urgent = machine.retire.is_some_and(|why| why != "idle");
+            let urgent = machine.retire.is_some_and(|why| why != IDLE);
             let due = machine.retire.is_some() && (urgent || machine.entries.is_empty());
             if due && !asked && names.len() < 100 {
                 machine.returning = Some(now.time);
@@ -382,6 +390,48 @@
         }
     }
 
+    /// Machines with GPUs on which only evictable work without any runs: it was let in beside GPU
+    /// work that has ended, and is not worth the machine.
+    fn spare_only(&self) -> BTreeSet<MachineId> {
+        let spare = |m: &&Machine| {
+            m.room.gpus > 0
+                && !m.entries.is_empty()
+                && m.entries.iter().all(|e| {
+                    let job = self.jobs.get(&e.task.job);
+                    !e.holds_room()
+                        || job.is_some_and(|j| {
+                            j.need.gpus == 0
+                                && j.evictable()
+                                && self.fits_without_gpus(&j.spec, &j.need)
+                        })
+                })
+        };
+        (self.machines.values().filter(spare))
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
+    /// Stops what is left on machines that are to be returned once they are empty.
+    pub fn empty_retired(&mut self, now: Time) {
+        let left: Vec<(MachineId, JobId, Attempt)> = (self.machines.values())
+            .filter(|m| m.retire == Some(IDLE))
+            .flat_map(|m| m.entries.iter().map(move |e| (m, e)))
+            .filter(|(_, e)| e.holds_room() && e.stop.is_none())
+            .map(|(m, e)| (m.id.clone(), e.task.job.clone(), e.attempt))
+            .collect();
+        for (machine, job, attempt) in left {
+            let grace = self.jobs.get(&job).map_or(0.0, |j| j.spec.save_s);
+            self.stop_on(
+                &machine,
+                &job,
+                attempt,
+                grace,
+                "its machine is returned",
+                now,
+            );
+        }
+    }
+
     /// A machine that was not heard for so long has missed several reports.
     fn silence(&self) -> Span {
         Span((self.report.0 * 3).min(self.lease.0 * 3 / 4) + 1_000)
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -397,6 +397,7 @@
             self.next_books = now.time + BOOKS;
             lead.end_cancelled(now);
             lead.drain(now.time);
+            lead.empty_retired(now.time);
             lead.expire(now);
             if lead.lease_valid(now.time) && now.time >= lead.next_cycle {
                 lead.next_cycle = now.time + PERIOD;
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -365,7 +365,7 @@
         }
     }
 
-    fn stop_on(
+    pub(crate) fn stop_on(
         &mut self,
         machine: &MachineId,
         job: &JobId,
