Workers that miss a report are probed, and given up when two probes stay unanswered

Cause: a machine that was cut or hung was given up only after three reports and a second, 4.5 to 8.5 s, in which its replicas were gone. Guard: only while other workers are heard this moment.

--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -261,7 +261,7 @@
 
 fn start_workers(core: &Sender<Input>) -> Result<Sender<WorkerJob>, String> {
     let (jobs, queue) = bounded::<WorkerJob>(CALLS);
-    let agent = clients::agent(400, 1_500);
+    let agent = clients::agent(400, 1_000);
     for i in 0..WORKER_THREADS {
         let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
         spawn(&format!("worker-{i}"), move || {
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -72,6 +72,8 @@
 /// a bound.
 const REFUSED: Span = Span(4_000);
 const REFUSED_MOST: u32 = 3;
+/// A machine is given up when its worker has left so many probes unanswered.
+const PROBES: u32 = 2;
 /// Why idle machines are returned.
 const IDLE: &str = "idle";
 /// Most machines of one request.
@@ -349,6 +351,9 @@
                 Some(last) if now.time - last > silence && heard => {
                     machine.retire.get_or_insert("silent");
                 }
+                Some(_) if machine.unanswered >= PROBES && heard => {
+                    machine.retire.get_or_insert("does not answer");
+                }
                 Some(_) if machine.lease_surely_over(now.time, Span(lease.0 * 2), fence) => {
                     machine.retire.get_or_insert("silent for long");
                 }
@@ -437,16 +442,25 @@
         Span((self.report.0 * 3).min(self.lease.0 * 3 / 4) + 1_000)
     }
 
-    /// Whether most machines that were ever heard were heard lately.
+    /// Whether most machines that were ever heard were heard lately, and some this moment: if not,
+    /// it is rather this node that is cut off.
     fn hears(&self, now: Time) -> bool {
-        let lately = Span(self.report.0 * 3 / 2 + 500);
-        let up: Vec<Time> = self
-            .machines
-            .values()
+        let up: Vec<Time> = (self.machines.values())
             .filter_map(|m| m.last_heard)
             .collect();
-        let heard = up.iter().filter(|&&t| now - t < lately).count();
-        heard * 3 >= up.len() * 2
+        let heard = |within: u64| up.iter().filter(|&&t| now - t < Span(within)).count();
+        heard(self.report.0 * 3 / 2 + 500) * 3 >= up.len() * 2
+            && heard(self.report.0 / 2 + 100) * 5 >= up.len()
+    }
+
+    /// Machines whose workers have missed a report: they are probed.
+    pub fn overdue(&self, now: Time) -> Vec<MachineId> {
+        let late = Span(self.report.0 * 5 / 4 + 500);
+        (self.machines.values())
+            .filter(|m| m.last_heard.is_some_and(|t| now - t > late) && m.returning.is_none())
+            .filter(|m| !m.direct_open && m.direct_after <= now && m.unanswered < PROBES)
+            .map(|m| m.id.clone())
+            .collect()
     }
 
     /// Takes in a page of the machine list, which may be older than what is known.
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -359,6 +359,31 @@
         });
     }
 
+    /// Asks a worker that has missed a report for one: commands that command nothing.
+    fn probe(&mut self, id: &MachineId) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let token = lead.epoch;
+        let Some(machine) = lead.machines.get_mut(id) else {
+            return;
+        };
+        let (Some(addr), false) = (machine.addr.clone(), machine.direct_open) else {
+            return;
+        };
+        machine.direct_open = true;
+        let body = DirectCommands {
+            token,
+            session: machine.newest.0,
+            commands: Vec::new(),
+        };
+        self.out.push(Output::Direct {
+            machine: id.clone(),
+            addr,
+            body,
+        });
+    }
+
     fn direct(&mut self, id: MachineId, body: DirectCommands, outcome: DirectOutcome, now: Now) {
         let Some(lead) = self.lead.as_mut() else {
             return;
@@ -375,7 +400,9 @@
             }
             _ => {
                 if let Some(machine) = lead.machines.get_mut(&id) {
-                    machine.direct_after = now.time + Span(1_500);
+                    let probe = body.commands.is_empty();
+                    machine.unanswered += u32::from(probe);
+                    machine.direct_after = now.time + Span(if probe { 100 } else { 1_000 });
                 }
             }
         }
@@ -412,9 +439,17 @@
             .filter(|m| lead.wants_direct(m, now.time))
             .map(|m| m.id.clone())
             .collect();
+        let overdue = if lead.ready {
+            lead.overdue(now.time)
+        } else {
+            Vec::new()
+        };
         for id in waiting {
             self.push_direct(&id, now);
         }
+        for id in overdue {
+            self.probe(&id);
+        }
         self.cloud_tick(now);
     }
 
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -153,6 +153,8 @@
     pub direct_open: bool,
     /// Direct calls wait until then, after one without an answer.
     pub direct_after: Time,
+    /// Probes in a row that its worker has not answered, since it was last heard.
+    pub unanswered: u32,
     /// It is to be emptied and returned, and why.
     pub retire: Option<&'static str>,
     /// A return was asked for.
@@ -213,6 +215,7 @@
             images: BTreeSet::new(),
             direct_open: false,
             direct_after: Time(0),
+            unanswered: 0,
             retire: None,
             returning: None,
             since,
@@ -254,6 +257,7 @@
         self.acked = report.token;
         self.addr = Some(report.addr.clone());
         self.last_heard = Some(now);
+        self.unanswered = 0;
         self.notice = report.notice_s.map(|s| now + Span::secs(s));
         let listed: BTreeMap<(&TaskId, Attempt), &TaskReport> = (report.tasks.iter())
             .map(|t| ((&t.task, t.attempt), t))
