--- a/crates/core/src/actions/consolidate.rs
+++ b/crates/core/src/actions/consolidate.rs
@@ -75,6 +75,7 @@
         let home = (0..picture.spots.len())
             .filter(|&i| i != at && picture.spots[i].images.contains(&job.spec.image))
             .filter(|&i| fit::fits(lead, picture, job, &picture.spots[i]))
+            .filter(|&i| picture.spots[i].replicas < picture.replica_cap())
             .filter(|&i| (picture.spots[i].room - picture.spots[i].free).cpus >= used.cpus)
             .min_by_key(|&i| {
                 let spot = &picture.spots[i];
--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -69,7 +69,8 @@
     let spot = &picture.spots[at];
     let image = &job.spec.image;
     let replicas = if job.spec.kind == Kind::Service {
-        spot.jobs.get(&job.spec.id).copied().unwrap_or(0)
+        let same = spot.jobs.get(&job.spec.id).copied().unwrap_or(0);
+        same + spot.replicas / picture.replica_cap()
     } else {
         0
     };
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -654,14 +654,15 @@
                 }
                 continue;
             }
-            let late = Span(now.wall.0.saturating_sub(wall.0)) > Span(self.cancel.0 / 2);
+            let past = Span(now.wall.0.saturating_sub(wall.0));
+            let led = now.time - self.since;
             for (machine, attempt) in job.places.values().flatten().cloned().collect::<Vec<_>>() {
                 self.stop_on(&machine, &id, attempt, 0.0, "cancelled", now.time);
-                // A machine that can't be reached is returned in good time, for the cloud may be
-                // away for a while itself.
-                let rest = self.machines.get_mut(&machine);
-                if let (true, Some(m)) = (late, rest) {
-                    m.retire.get_or_insert("holds a cancelled job");
+                let limits = (self.cancel, self.report);
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    if must_return(m, past, led, limits, now.time) {
+                        m.retire.get_or_insert("holds a cancelled job");
+                    }
                 }
             }
         }
@@ -911,7 +912,59 @@
     }
 }
 
+/// Whether a machine must be returned since it may hold a task of a job that was cancelled so long
+/// ago. One that can't be reached is returned in good time, for the cloud may be away for a while
+/// itself. What a new leader has read back may be long out of date, so it waits to hear machines
+/// first: a machine may hold much else.
+fn must_return(m: &Machine, past: Span, led: Span, limits: (Span, Span), now: Time) -> bool {
+    let (cancel, report) = limits;
+    let silent = m.last_heard.is_none_or(|t| now - t > Span(report.0 * 3));
+    let in_good_time = past > Span(cancel.0 / 2) && led > Span(report.0 * 3) && silent;
+    let at_last = past + Span(8_000) > cancel && led > Span(report.0 * 2);
+    in_good_time || at_last
+}
+
 /// Until when a lease is surely alive whose renewal was sent at a moment.
 fn alive_until(sent: Time) -> Time {
     sent + Span(LEASE.0 - LEASE.0.div_ceil(500))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(heard: Option<Time>) -> Machine {
+        let (t, z) = ("m4".into(), "a".into());
+        let mut m = Machine::new("vm-1".into(), t, z, false, Resources::default(), Wall(0));
+        m.last_heard = heard;
+        m
+    }
+
+    /// A new leader read back that a machine may hold a task of a job that was cancelled long
+    /// ago. It returned the machine at once, with twenty replicas that ran on it.
+    #[test]
+    fn a_new_leader_hears_machines_before_it_returns_them() {
+        let limits = (Span(37_000), Span(2_500));
+        let now = Time(1_000_000);
+        let long = Span(300_000);
+        assert!(!must_return(&machine(None), long, Span(30), limits, now));
+        assert!(must_return(&machine(None), long, Span(8_000), limits, now));
+    }
+
+    #[test]
+    fn a_machine_that_is_heard_is_returned_only_at_last() {
+        let limits = (Span(37_000), Span(2_500));
+        let now = Time(1_000_000);
+        let led = Span(60_000);
+        let heard = machine(Some(now));
+        assert!(!must_return(&heard, Span(25_000), led, limits, now));
+        assert!(must_return(&heard, Span(30_000), led, limits, now));
+        assert!(must_return(
+            &machine(Some(Time(0))),
+            Span(20_000),
+            led,
+            limits,
+            now
+        ));
+    }
+}
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -139,6 +139,10 @@
     pub record: Option<Version>,
     /// Whether the record must be written again.
     pub dirty: bool,
+    /// Tasks that the record names.
+    pub recorded: usize,
+    /// Since when the record has named tasks that are gone.
+    pub stale: Option<Time>,
     /// Whether a commit of the record is open.
     pub committing: bool,
     /// When a node last answered a report of its worker.
@@ -208,6 +212,8 @@
             entries: Vec::new(),
             record: None,
             dirty: false,
+            recorded: 0,
+            stale: None,
             committing: false,
             last_answer: None,
             last_heard: None,
@@ -295,6 +301,17 @@
         gone.map(|e| (e.task, e.attempt)).collect()
     }
 
+    /// Sees to it that the record does not name tasks that are gone for long: a later leader would
+    /// take them for present. Soon is enough, so that a new start takes this along.
+    pub fn note_stale(&mut self, now: Time) {
+        let there = self.entries.iter().filter(|e| e.holds_room()).count();
+        if there >= self.recorded {
+            self.stale = None;
+        } else if now - *self.stale.get_or_insert(now) > Span(2_000) {
+            self.dirty = true;
+        }
+    }
+
     /// How many tasks of a job may be on it.
     pub fn tasks_of(&self, job: &JobId) -> u32 {
         let here = |e: &&Entry| e.holds_room() && e.task.job == *job;
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -11,7 +11,7 @@
     CATALOG, JOBS, LEADER, MACHINES, PROGRESS,
 };
 use crate::state_calls::Urgency;
-use crate::units::{Now, Span};
+use crate::units::{Now, Span, Time};
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Attempt, Epoch, JobId, MachineId, Session, TaskId, Version};
 use rudderreel_wire::state::{Change, Condition, Page, Transaction};
@@ -178,14 +178,14 @@
         if !lead.ready || !lead.lease_valid(now.time) || lead.raised.1 {
             return;
         }
-        self.flush_machines();
+        self.flush_machines(now.time);
         self.flush_progress(now);
         if self.lead.as_ref().is_some_and(|l| l.wants_fence(now.time)) {
             self.raise_epoch(now);
         }
     }
 
-    fn flush_machines(&mut self) {
+    fn flush_machines(&mut self, now: Time) {
         loop {
             let ops = self.settings.params.state.txn_ops;
             let Some(lead) = self.lead.as_mut() else {
@@ -196,6 +196,7 @@
             let mut records = Vec::new();
             let mut size = 0;
             for machine in lead.machines.values_mut() {
+                machine.note_stale(now);
                 if !machine.dirty || machine.committing || changes.len() >= ops || size > 40_000 {
                     continue;
                 }
@@ -237,6 +238,8 @@
                 StateAnswer::Committed(version) => {
                     machine.committing = false;
                     machine.record = Some(*version);
+                    machine.recorded = tasks.len();
+                    machine.stale = None;
                     for entry in &mut machine.entries {
                         entry.recorded |= (tasks.iter()).any(|(task, attempt)| {
                             entry.attempt == *attempt && entry.task == *task
@@ -521,6 +524,7 @@
             record.since,
         );
         machine.record = Some(version);
+        machine.recorded = record.tasks.len();
         machine.listed = true;
         for (task, attempt) in record.tasks {
             let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -7,6 +7,7 @@
 use crate::tree::{amounts, Amounts, KINDS};
 use crate::units::{Now, Resources, Span, Time};
 use rudderreel_wire::ids::{Attempt, Image, JobId, MachineId, TaskId, TypeName, Zone};
+use rudderreel_wire::job::Kind;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that work can be placed on.
@@ -32,6 +33,8 @@
     pub jobs: BTreeMap<JobId, u32>,
     /// Tasks that its record can still hold.
     pub slots: usize,
+    /// Replicas on it.
+    pub replicas: u32,
     /// Room of work that could be evicted for work of the highest priority.
     pub evictable: Resources,
     /// Free room that is held back from evictable work.
@@ -204,20 +207,36 @@
         *here = here.saturating_add_signed(sign);
         let jobs = spot.jobs.entry(task.job.clone()).or_default();
         *jobs = jobs.saturating_add_signed(sign);
+        let service = lead
+            .jobs
+            .get(&task.job)
+            .is_some_and(|j| j.spec.kind == Kind::Service);
+        if service {
+            spot.replicas = spot.replicas.saturating_add_signed(sign);
+        }
     }
 
     /// Whether there is room for the urgent work that may come before a machine could be had,
     /// even without one of the machines. Work that would be evicted for it counts as room.
     pub fn keeps_reserve(&self, lead: &Lead, without: Option<usize>) -> bool {
+        let room = |need: &Resources, image: &Image| -> u32 {
+            (self.spots.iter().enumerate())
+                .filter(|(i, s)| Some(*i) != without && s.images.contains(image))
+                .map(|(_, s)| (s.free + s.evictable).count(need))
+                .sum()
+        };
         lead.reserve(self.now).iter().all(|reserve| {
-            let room: u32 = (self.spots.iter().enumerate())
-                .filter(|(i, _)| Some(*i) != without)
-                .map(|(_, s)| (s.free + s.evictable).count(&reserve.need))
-                .sum();
-            room >= reserve.tasks
+            // Room without the image would mean a fetch, so each image has its part.
+            let part = reserve.tasks.div_ceil(reserve.images.len().max(1) as u32);
+            (reserve.images.iter()).all(|image| room(&reserve.need, image) >= part)
         })
     }
 
+    /// Replicas that one machine should hold at most, so that its loss is not felt too much.
+    pub fn replica_cap(&self) -> u32 {
+        (self.spots.iter().map(|s| s.replicas).sum::<u32>() / 4).max(4)
+    }
+
     /// Holds free room back for urgent work that may come before a machine could be had, where its
     /// image is. A single team needs none: its own work yields by priority.
     pub fn hold_reserve(&mut self, lead: &Lead) {
@@ -261,12 +280,14 @@
     let mut jobs = BTreeMap::new();
     let mut fetching = BTreeSet::new();
     let mut evictable = Resources::default();
+    let mut replicas = 0;
     for entry in machine.entries.iter().filter(|e| e.holds_room()) {
         *jobs.entry(entry.task.job.clone()).or_default() += 1;
         if let Some(job) = lead.jobs.get(&entry.task.job) {
             if entry.running.is_none() {
                 fetching.insert(job.spec.image.clone());
             }
+            replicas += u32::from(job.spec.kind == Kind::Service);
             if job.evictable() && entry.stop.is_none() {
                 evictable += entry.need;
             }
@@ -282,6 +303,7 @@
         images: machine.images.clone(),
         fetching,
         jobs,
+        replicas,
         slots: lead.max_entries.saturating_sub(machine.entries.len()),
         evictable,
         held: Resources::default(),
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -5,6 +5,7 @@
 use crate::snapshot::Snapshot;
 use crate::tree::amounts;
 use rudderreel_wire::ids::{Image, MachineId, TaskId};
+use rudderreel_wire::job::Kind;
 
 /// A task and the machine it is to go on.
 #[derive(Clone, Debug)]
@@ -30,6 +31,7 @@
         spot.free -= job.need;
         spot.slots = spot.slots.saturating_sub(1);
         *spot.jobs.entry(job.spec.id.clone()).or_default() += 1;
+        spot.replicas += u32::from(job.spec.kind == Kind::Service);
         let fetches = spot.fetching.insert(job.spec.image.clone());
         let zones = picture.zones.entry(job.spec.id.clone()).or_default();
         *zones.entry(spot.zone.clone()).or_default() += 1;
@@ -60,6 +62,7 @@
             let spot = &mut picture.spots[at];
             spot.free += job.need;
             spot.slots += 1;
+            spot.replicas -= u32::from(job.spec.kind == Kind::Service);
             if let Some(n) = spot.jobs.get_mut(&placement.task.job) {
                 *n -= 1;
             }
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -48,6 +48,13 @@
     }
 }
 
+impl std::ops::Add<Span> for Span {
+    type Output = Span;
+    fn add(self, more: Span) -> Span {
+        Span(self.0.saturating_add(more.0))
+    }
+}
+
 impl std::ops::Sub<Time> for Time {
     type Output = Span;
     fn sub(self, earlier: Time) -> Span {
