--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -223,6 +223,38 @@
     }
 }
 
+/// An answer of the administration API.
+pub enum AdminReply {
+    /// Status and body.
+    Answer(u16, String),
+    /// There was none.
+    None,
+}
+
+fn admin_reply(reply: Reply) -> AdminReply {
+    match reply {
+        Reply::Status(status, bytes) => {
+            AdminReply::Answer(status, String::from_utf8_lossy(&bytes).into_owned())
+        }
+        _ => AdminReply::None,
+    }
+}
+
+/// Reads from the administration API.
+pub fn admin_get(url: &str) -> AdminReply {
+    admin_reply(get(&agent(2_000, 10_000), url))
+}
+
+/// Changes something through the administration API.
+pub fn admin_put(url: &str, body: &[u8]) -> AdminReply {
+    let request = agent(2_000, 10_000).put(url);
+    admin_reply(finish(
+        request
+            .header("Content-Type", "application/json")
+            .send(body),
+    ))
+}
+
 /// Forwards a user's request to a peer.
 pub fn forward(agent: &Agent, addr: SocketAddrV4, request: &Forward) -> Option<(u16, String)> {
     let url = format!("http://{addr}/peer/forward");
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::requests::{self, Incoming, MAX_BODY};
 use crossbeam_channel::{Sender, TrySendError};
-use rudderreel_core::{Input, ReqId, UserRequest};
+use rudderreel_core::{AdminRequest, Input, ReqId, UserRequest};
 use rudderreel_wire::peer::{Forward, Heartbeat};
 use std::collections::HashMap;
 use std::io::Read;
@@ -127,21 +127,56 @@
                 Err(e) => reject(request, 400, &e.to_string()),
             },
             (true, "/peer/forward") => match forwarded(&bytes) {
-                Some(user) => {
+                Some(ForwardedTo::User(user)) => {
                     hand_over(open, core, request, |id| Input::Forwarded(id, user.clone()))
                 }
+                Some(ForwardedTo::Admin(ask)) => hand_over(open, core, request, |id| {
+                    Input::Admin(id, ask.clone(), false)
+                }),
                 None => reject(request, 400, "unreadable"),
             },
-            (false, "/admin/overview") => hand_over(open, core, request, Input::Overview),
+            _ if path.starts_with("/admin/") => admin(open, core, request, &path, &bytes),
             _ => reject(request, 404, "no such path"),
         }
     }
 }
 
-fn forwarded(bytes: &[u8]) -> Option<UserRequest> {
-    Some(match bitcode::decode::<Forward>(bytes).ok()? {
+/// Serves the administration API.
+fn admin(open: &Open, core: &Sender<Input>, request: Request, path: &str, bytes: &[u8]) {
+    let replace = *request.method() == Method::Put && path == "/admin/settings";
+    let ask = if replace {
+        match serde_json::from_slice(bytes) {
+            Ok(new) => Some(AdminRequest::Replace(Box::new(new))),
+            Err(e) => return reject(request, 400, &e.to_string()),
+        }
+    } else if *request.method() == Method::Get {
+        AdminRequest::of_path(path)
+    } else {
+        return reject(
+            request,
+            405,
+            "only GET, and PUT for settings, are allowed here",
+        );
+    };
+    match ask {
+        Some(ask) => hand_over(open, core, request, |id| {
+            Input::Admin(id, ask.clone(), true)
+        }),
+        None => reject(request, 404, "no such path"),
+    }
+}
+
+enum ForwardedTo {
+    User(UserRequest),
+    Admin(AdminRequest),
+}
+
+fn forwarded(bytes: &[u8]) -> Option<ForwardedTo> {
+    let user = match bitcode::decode::<Forward>(bytes).ok()? {
+        Forward::Admin(path) => return AdminRequest::of_path(&path).map(ForwardedTo::Admin),
         Forward::Submit(text) => UserRequest::Submit(serde_json::from_str(&text).ok()?),
         Forward::Status(id) => UserRequest::Status(id.parse().ok()?),
         Forward::Withdraw(id) => UserRequest::Withdraw(id.parse().ok()?),
-    })
+    };
+    Some(ForwardedTo::User(user))
 }
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: settings, sockets, threads and timers round the core.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod clients;
 mod front;
 mod logs;
@@ -25,6 +26,8 @@
 
 #[derive(Subcommand)]
 enum Verb {
+    /// Asks or changes something through the administration API of a running node.
+    Admin(admin::AdminArgs),
     /// Checks a settings file and says what is wrong with it.
     Check {
         /// Settings file.
@@ -52,6 +55,7 @@
             );
             Ok(())
         }
+        (Some(Verb::Admin(args)), _) => admin::run(&args),
         (None, Some(config)) => {
             logs::start();
             shell::run(read(&config)?)
--- a/crates/core/src/actions/mod.rs
+++ b/crates/core/src/actions/mod.rs
@@ -10,3 +10,12 @@
 pub use consolidate::consolidate;
 pub use evict::{preempt, reclaim, Scenario};
 pub use fit::allowed;
+
+/// Whether one more task of a job has room somewhere.
+pub fn has_room(
+    lead: &crate::lead::Lead,
+    picture: &crate::snapshot::Snapshot,
+    job: &crate::job::Job,
+) -> bool {
+    fit::best(lead, picture, job, false).is_some()
+}
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -66,8 +66,6 @@
 
 /// The cloud charges a machine for so long at least.
 const LEAST_CHARGE: Span = Span(60_000);
-/// An idle machine is kept for so long.
-const KEEP_IDLE: Span = Span(20_000);
 /// An offer that was refused is asked for again after so long, and twice as long each time, up to
 /// a bound.
 const REFUSED: Span = Span(4_000);
@@ -333,7 +331,7 @@
             .collect();
         let (lease, fence) = (self.lease, self.fence);
         let (led, silence, heard) = (now.time - self.since, self.silence(), self.hears(now.time));
-        let spare_only = self.spare_only();
+        let (spare_only, keep) = (self.spare_only(), self.keep_idle);
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
             let age = Lead::age(machine, now.wall);
@@ -364,10 +362,7 @@
                 machine.idle = None;
             } else {
                 let since = *machine.idle.get_or_insert(now.time);
-                if machine.last_heard.is_some()
-                    && age > LEAST_CHARGE
-                    && now.time - since > KEEP_IDLE
-                {
+                if machine.last_heard.is_some() && age > LEAST_CHARGE && now.time - since > keep {
                     machine.retire.get_or_insert(IDLE);
                 }
             }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -6,13 +6,14 @@
 use crate::io::{
     json, show, CallId, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall, Value,
 };
-use crate::lead::{Lead, PERIOD};
+use crate::lead::Lead;
 use crate::reads::{Reads, UserStep};
 use crate::records::{LEADER, SHARED};
 use crate::recovery::LeadStep;
 use crate::state_calls::{StateCalls, Urgency};
 use crate::tree::TeamTree;
 use crate::units::{Now, Span, Time};
+use rudderreel_wire::admin::{AdminSettings, Versioned};
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version};
 use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply};
@@ -29,6 +30,7 @@
     User(UserStep),
     Lead(u64, LeadStep),
     Catalog,
+    Settings(ReqId, Box<AdminSettings>),
 }
 
 /// What is known of a peer.
@@ -43,6 +45,8 @@
 pub struct Core {
     pub(crate) settings: Settings,
     pub(crate) tree: TeamTree,
+    pub(crate) platform_tree: TeamTree,
+    pub(crate) admin_settings: Versioned,
     pub(crate) catalog: Option<Catalog>,
     pub(crate) next_catalog_read: Time,
     pub(crate) directory: Directory,
@@ -81,6 +85,11 @@
             .collect();
         Self {
             tree: TeamTree::from_limits(&settings.params.teams),
+            platform_tree: TeamTree::from_limits(&settings.params.teams),
+            admin_settings: Versioned {
+                version: Version(0),
+                settings: AdminSettings::default(),
+            },
             catalog: None,
             next_catalog_read: Time(0),
             directory: Directory::default(),
@@ -114,7 +123,7 @@
             Input::Forwarded(req, request) => self.user(req, request, true, now),
             Input::Report(req, report) => self.report(req, *report, now),
             Input::Health(req) => self.health(req, now),
-            Input::Overview(req) => self.overview(req, now),
+            Input::Admin(req, request, local) => self.admin(req, request, local, now),
             Input::Heartbeat(req, beat) => self.heartbeat(req, beat, now),
             Input::HeartbeatReply(sent, reply) => self.heartbeat_reply(sent, reply, now),
             Input::ForwardReply(req, answer) => self.forward_answer(req, answer),
@@ -165,6 +174,7 @@
                     self.lead_answer(step, answer, now);
                 }
             }
+            Some(Purpose::Settings(req, new)) => self.settings_replaced(req, *new, answer),
             Some(Purpose::Catalog) => {
                 if let StateAnswer::Found(item) = answer {
                     if self.catalog.is_none() {
@@ -205,6 +215,7 @@
         log::info!("leading as {}", show(epoch));
         let tree = self.tree.clone();
         let mut lead = Lead::new(&self.settings, tree, epoch, lease, sent, version, now.time);
+        lead.take_up(self.tree.clone(), &self.admin_settings.settings);
         if let Some(catalog) = &self.catalog {
             lead.learn_catalog(catalog.clone());
         }
@@ -277,6 +288,9 @@
     }
 
     fn hear_leader(&mut self) {
+        if let Some((version, settings)) = self.directory.admin.take() {
+            self.take_up(version, settings);
+        }
         if let Some((_, record)) = &self.directory.leader {
             self.election.hear_epoch(record.epoch);
         }
@@ -427,7 +441,7 @@
             lead.empty_retired(now.time);
             lead.expire(now);
             if lead.lease_valid(now.time) && now.time >= lead.next_cycle {
-                lead.next_cycle = now.time + PERIOD;
+                lead.next_cycle = now.time + lead.period;
                 lead.cycle(now);
             }
         }
@@ -591,7 +605,7 @@
         }
     }
 
-    // --- health and overview ---
+    // --- health ---
 
     fn health(&mut self, req: ReqId, now: Now) {
         let peer = (self.peers.values()).any(|p| p.state_ok && now.time < p.heard + Span(1_500));
@@ -601,17 +615,4 @@
             self.refuse(req, "the state service does not answer");
         }
     }
-
-    fn overview(&mut self, req: ReqId, now: Now) {
-        let leader = self.directory.leader.as_ref().map(|(_, r)| r);
-        let body = serde_json::json!({
-            "node": self.settings.node,
-            "leader": leader.map(|r| &r.node),
-            "epoch": leader.map(|r| r.epoch),
-            "leads": self.lead.is_some(),
-            "state_ok": self.election.state_ok(now.time),
-            "jobs": self.directory.jobs.len(),
-        });
-        self.answer(req, 200, body.to_string());
-    }
 }
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -4,7 +4,8 @@
 //! and is confirmed with the state service first (see `reads`).
 
 use crate::io::Value;
-use crate::records::{JobRecord, LeaderRecord, JOBS, LEADER};
+use crate::records::{JobRecord, LeaderRecord, ADMIN, JOBS, LEADER};
+use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::ids::{JobId, Version};
 use rudderreel_wire::state::Event;
 use std::collections::BTreeMap;
@@ -27,6 +28,8 @@
     pub leader: Option<(Version, LeaderRecord)>,
     /// The newest revision at which the leader's key is known.
     pub leader_seen: Version,
+    /// Operators' settings that have yet to be taken up.
+    pub admin: Option<(Version, AdminSettings)>,
     /// Whether the first read is complete.
     pub complete: bool,
     /// Jobs that changed since the leader last looked.
@@ -60,6 +63,11 @@
                 Some(record) => self.learn_leader(version, Some((version, record))),
                 None => log::error!("unreadable leader record"),
             }
+        } else if key == ADMIN {
+            match serde_json::from_value(value.clone()) {
+                Ok(settings) => self.admin = Some((version, settings)),
+                Err(e) => log::error!("unreadable record {key}: {e}"),
+            }
         } else if let Some(id) = key.strip_prefix(JOBS).and_then(|id| id.parse().ok()) {
             match serde_json::from_value(value.clone()) {
                 Ok(record) => self.learn_job(id, version, record),
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -131,8 +131,8 @@
     Report(ReqId, Box<Report>),
     /// A health check.
     Health(ReqId),
-    /// An administrator asks for an overview.
-    Overview(ReqId),
+    /// An administrator's request; not local if a peer forwarded it.
+    Admin(ReqId, crate::admin::AdminRequest, bool),
     /// A peer's heartbeat.
     Heartbeat(ReqId, Heartbeat),
     /// A peer's answer to a heartbeat sent at the given moment.
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -1,6 +1,7 @@
 //! What a leader holds and does: workers' reports, commands, commits of its books.
 
 use crate::actions;
+use crate::admin::{Latency, StopNote};
 use crate::capacity::Rentals;
 use crate::election::{LEASE, WORD};
 use crate::job::{Job, Stage};
@@ -10,6 +11,7 @@
 use crate::statement::Placement;
 use crate::tree::TeamTree;
 use crate::units::{Now, Resources, Span, Time, Wall};
+use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::cloud::{Catalog, MachineType};
 use rudderreel_wire::ids::{
     Attempt, Class, Epoch, Image, JobId, LeaseId, MachineId, NodeName, TaskId, TypeName, Version,
@@ -17,7 +19,7 @@
 use rudderreel_wire::job::{JobSpec, Kind};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::worker::{Cause, Command, Report, TaskReport, TaskState};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What a node holds while it leads.
 pub struct Lead {
@@ -67,6 +69,18 @@
     pub wait_aims: BTreeMap<Class, Span>,
     /// Tasks that a machine's record can hold.
     pub max_entries: usize,
+    /// Seconds between cycles when nothing calls for one sooner.
+    pub period: Span,
+    /// How long an idle machine is kept.
+    pub keep_idle: Span,
+    /// How much room is kept for urgent arrivals.
+    pub reserve_factor: f64,
+    /// Tasks that were stopped lately.
+    pub stops: VecDeque<StopNote>,
+    /// What has happened, counted.
+    pub counters: BTreeMap<&'static str, u64>,
+    /// How long tasks waited for their first start, by class.
+    pub waits: BTreeMap<Class, Latency>,
     /// Rental requests.
     pub rentals: Rentals,
     /// When replicas may be moved next.
@@ -89,6 +103,8 @@
 pub const PERIOD: Span = Span(2_000);
 /// A placement that could not start for so long is taken back.
 const STALLED: Span = Span(10_000);
+/// Stops that are remembered.
+const STOPS: usize = 100;
 /// How far back arrivals are looked at.
 const LATELY: Span = Span(120_000);
 /// A record's bytes per task, at most.
@@ -145,6 +161,12 @@
                 .filter_map(|o| Some((o.class.clone()?, Span::secs(o.within_s?))))
                 .collect(),
             max_entries: (value_bytes.saturating_sub(512) / ENTRY_BYTES).max(1),
+            period: PERIOD,
+            keep_idle: Span(20_000),
+            reserve_factor: 1.0,
+            stops: VecDeque::new(),
+            counters: BTreeMap::new(),
+            waits: BTreeMap::new(),
             rentals: Rentals::default(),
             next_move: now + Span(20_000),
             next_cycle: now,
@@ -155,6 +177,35 @@
         }
     }
 
+    /// Takes up operators' settings.
+    pub fn take_up(&mut self, tree: TeamTree, settings: &AdminSettings) {
+        self.tree = tree;
+        self.period = Span::secs(settings.period_s);
+        self.multiplier = settings.reclaim_multiplier;
+        self.min_runtime = Span::secs(settings.reclaim_min_runtime_s);
+        self.preempt_min_runtime = Span::secs(settings.preempt_min_runtime_s);
+        self.keep_idle = Span::secs(settings.keep_idle_s);
+        self.reserve_factor = settings.reserve_factor;
+    }
+
+    /// Counts something.
+    pub fn count(&mut self, what: &'static str) {
+        *self.counters.entry(what).or_default() += 1;
+    }
+
+    fn note_stop(&mut self, at: Wall, task: &TaskId, machine: &MachineId, why: &'static str) {
+        self.count(why);
+        if self.stops.len() >= STOPS {
+            self.stops.pop_front();
+        }
+        self.stops.push_back(StopNote {
+            at_ms: at.0,
+            task: task.to_string(),
+            machine: machine.to_string(),
+            why,
+        });
+    }
+
     /// The lease was renewed by a call sent at a moment.
     pub fn renewed(&mut self, sent: Time) {
         self.lease_until = self.lease_until.max(alive_until(sent));
@@ -262,10 +313,13 @@
                 let job = self.jobs.get(&task.job);
                 let image = job.map(|j| j.spec.image.clone());
                 if let Some(job) = job {
-                    let waited = Span(now.wall.0.saturating_sub(job.submitted.0)).as_secs();
-                    let class = &job.spec.class;
-                    log::debug!("{task} of {class} runs on {machine}, {waited} s after submission");
+                    let waited = Span(now.wall.0.saturating_sub(job.submitted.0));
+                    let class = job.spec.class.clone();
+                    let s = waited.as_secs();
+                    log::debug!("{task} of {class} runs on {machine}, {s} s after submission");
+                    self.waits.entry(class).or_default().note(waited);
                 }
+                self.count("started");
                 if let (Some(image), Some(m)) = (image, self.machines.get_mut(machine)) {
                     m.images.insert(image);
                 }
@@ -291,6 +345,13 @@
         now: Now,
     ) {
         log::debug!("{task} attempt {attempt} exited on {machine}: {why:?}");
+        let stop = (self.machines.get_mut(machine))
+            .and_then(|m| m.entry_mut(task, attempt))
+            .and_then(|e| e.stop);
+        match stop {
+            Some(stop) => self.note_stop(now.wall, task, machine, stop.why),
+            None => self.count(if why == Cause::Done { "done" } else { "failed" }),
+        }
         self.wake(now.time);
         if let Some(m) = self.machines.get_mut(machine) {
             match why {
@@ -342,6 +403,7 @@
     }
 
     fn vanished(&mut self, machine: &MachineId, task: &TaskId, attempt: Attempt, now: Now) {
+        self.note_stop(now.wall, task, machine, "lost with its machine");
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.unplace(task.index, machine, attempt);
         }
@@ -682,8 +744,8 @@
         if scenario.evictions.is_empty() && now.time >= self.next_move {
             let emptied = actions::consolidate(self, &mut picture, &mut scenario);
             if let Some(machine) = emptied.and_then(|id| self.machines.get_mut(&id)) {
-                machine.cordon = now.time + Span(3 * PERIOD.0);
-                self.next_move = now.time + PERIOD;
+                machine.cordon = now.time + Span(3 * self.period.0);
+                self.next_move = now.time + self.period;
             }
         }
         placements.extend(scenario.placements);
@@ -767,7 +829,8 @@
             .map(|(need, n, images)| Reserve {
                 need,
                 images,
-                tasks: (per_boot(n) + 2.0 * per_boot(n).sqrt()).ceil() as u32,
+                tasks: (self.reserve_factor * (per_boot(n) + 2.0 * per_boot(n).sqrt())).ceil()
+                    as u32,
             })
             .collect()
     }
@@ -906,6 +969,11 @@
         }
     }
 
+    /// Whether a machine is expected to come up.
+    pub fn is_booting(&self) -> bool {
+        (self.machines.values()).any(|m| m.last_heard.is_none() && m.returning.is_none())
+    }
+
     /// Age of a machine by the time of day.
     pub fn age(machine: &Machine, wall: Wall) -> Span {
         Span(wall.0.saturating_sub(machine.since.0))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod actions;
+mod admin;
 mod capacity;
 mod directory;
 mod election;
@@ -22,6 +23,7 @@
 
 mod core;
 pub use crate::core::Core;
+pub use admin::AdminRequest;
 pub use io::{
     CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
     UserRequest, Value,
--- a/crates/core/src/reads.rs
+++ b/crates/core/src/reads.rs
@@ -5,6 +5,7 @@
 //! class, with one commit that only compares, and a batch confirms only requests that arrived
 //! before it was sent.
 
+use crate::admin::Latency;
 use crate::core::{Core, Purpose};
 use crate::io::{error_body, json, Output, ReqId, StateAnswer, StateCall, UserRequest};
 use crate::records::{job_key, JobRecord, JOBS};
@@ -56,6 +57,10 @@
     gather_since: Option<Time>,
     /// Requests that a peer was asked to serve.
     pub forwarded: BTreeMap<ReqId, Waiting>,
+    /// Administrators' requests that the leader was asked to serve.
+    pub admin_forwarded: BTreeMap<ReqId, Time>,
+    /// How long answers took.
+    pub latency: Latency,
     /// Requests that wait for the state service.
     open: usize,
 }
@@ -83,7 +88,7 @@
             return self.refuse(waiting.req, "too many requests are open");
         }
         if let Some(record) = self.final_record(waiting.job()) {
-            return self.tell(&waiting, &record);
+            return self.tell(&waiting, &record, now);
         }
         if !self.election.state_ok(now.time) {
             return self.forward_or_refuse(waiting, now);
@@ -98,7 +103,7 @@
 
     fn serve(&mut self, waiting: Waiting, now: Now) {
         if let Some(record) = self.final_record(waiting.job()) {
-            return self.tell(&waiting, &record);
+            return self.tell(&waiting, &record, now);
         }
         let known = self.directory.jobs.get(waiting.job()).cloned();
         match (&waiting.request, known) {
@@ -189,7 +194,7 @@
         let mut members = Vec::new();
         for waiting in all {
             if let Some(record) = self.final_record(waiting.job()) {
-                self.tell(&waiting, &record);
+                self.tell(&waiting, &record, now);
                 continue;
             }
             let Some(known) = self.directory.jobs.get(waiting.job()) else {
@@ -247,7 +252,7 @@
                     UserRequest::Withdraw(_) if !record.is_final() => {
                         self.cancel(waiting, item.version, record, now)
                     }
-                    _ => self.tell(&waiting, &record),
+                    _ => self.tell(&waiting, &record, now),
                 }
             }
             StateAnswer::Missing => match &waiting.request {
@@ -300,7 +305,7 @@
             StateAnswer::Committed(version) => {
                 let id = waiting.job().clone();
                 self.directory.learn_job(id, version, record.clone());
-                self.tell(&waiting, &record);
+                self.tell(&waiting, &record, now);
             }
             StateAnswer::Conflict(_) | StateAnswer::Unknown => self.again(waiting, now),
             _ => self.forward_or_refuse(waiting, now),
@@ -332,14 +337,15 @@
                     .any(|key| key.strip_prefix(JOBS) == Some(id.as_str()));
             let record = self.directory.jobs.get(id).map(|k| k.record.clone());
             match record {
-                Some(record) if fresh => self.tell(&waiting, &record),
+                Some(record) if fresh => self.tell(&waiting, &record, now),
                 _ => self.again(waiting, now),
             }
         }
     }
 
     /// Answers by a record that is fresh, or final.
-    fn tell(&mut self, waiting: &Waiting, record: &JobRecord) {
+    fn tell(&mut self, waiting: &Waiting, record: &JobRecord, now: Now) {
+        self.reads.latency.note(now.time - waiting.since);
         let id = waiting.job().clone();
         let tasks = record.tasks;
         let (done, running) = self.counts(&id);
@@ -389,7 +395,8 @@
 
     /// A peer's answer to a forwarded request.
     pub(crate) fn forward_answer(&mut self, req: ReqId, answer: Option<(u16, String)>) {
-        if self.reads.forwarded.remove(&req).is_none() {
+        let admin = self.reads.admin_forwarded.remove(&req).is_some();
+        if self.reads.forwarded.remove(&req).is_none() && !admin {
             return;
         }
         match answer {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- |
 //! | `pub/job/<id>` | any node creates or cancels; the leader completes | submission and state |
 //! | `pub/leader` | the leader, on its lease | who leads, and its epoch |
+//! | `pub/admin` | any node, for an administrator | operators' settings |
 //! | `epoch` | the leader | the last epoch given out |
 //! | `machine/<name>` | the leader, before a start is sent | every task that may be on it |
 //! | `progress/<id>` | the leader | which tasks are done |
@@ -22,6 +23,8 @@
 pub const JOBS: &str = "pub/job/";
 /// The leader's key.
 pub const LEADER: &str = "pub/leader";
+/// Operators' settings.
+pub const ADMIN: &str = "pub/admin";
 /// The epoch's key.
 pub const EPOCH: &str = "epoch";
 /// Prefix of machines.
--- a/crates/core/src/tree.rs
+++ b/crates/core/src/tree.rs
@@ -1,6 +1,7 @@
 //! The tree of teams: each node has, per resource, a quota, a limit and a weight, and a priority.
 
 use crate::units::Resources;
+use rudderreel_wire::admin::TeamSettings;
 use rudderreel_wire::ids::Team;
 use rudderreel_wire::settings::TeamLimits;
 use std::collections::BTreeMap;
@@ -67,6 +68,73 @@
         Self { nodes, index }
     }
 
+    /// The platform's tree with operators' settings laid over it: groups, parents, quotas, weights,
+    /// priorities, and limits that may be tightened but not exceeded. Names the first setting that
+    /// can't be.
+    pub fn with(&self, settings: &BTreeMap<Team, TeamSettings>) -> Result<Self, String> {
+        let mut named: Vec<TeamNode> = self.nodes[1..].to_vec();
+        for (name, _) in settings
+            .iter()
+            .filter(|(name, _)| self.find(name).is_none())
+        {
+            if name.as_str().is_empty() {
+                return Err("teams: a group's name must not be empty".into());
+            }
+            named.push(TeamNode {
+                name: name.clone(),
+                ..self.nodes[0].clone()
+            });
+        }
+        let mut parents: BTreeMap<Team, Option<Team>> = BTreeMap::new();
+        for node in &mut named {
+            let own = settings.get(&node.name).cloned().unwrap_or_default();
+            overlay(node, &own)?;
+            parents.insert(node.name.clone(), own.parent);
+        }
+        self.arrange(named, &parents)
+    }
+
+    /// Puts parents before their children.
+    fn arrange(
+        &self,
+        mut rest: Vec<TeamNode>,
+        parents: &BTreeMap<Team, Option<Team>>,
+    ) -> Result<Self, String> {
+        let mut nodes = vec![self.nodes[0].clone()];
+        let mut index: BTreeMap<Team, usize> = BTreeMap::new();
+        while !rest.is_empty() {
+            let before = rest.len();
+            let (ready, later): (Vec<_>, Vec<_>) = rest.into_iter().partition(|n| {
+                parents[&n.name]
+                    .as_ref()
+                    .is_none_or(|p| index.contains_key(p))
+            });
+            rest = later;
+            for mut node in ready {
+                node.parent = Some(parents[&node.name].as_ref().map_or(0, |p| index[p]));
+                index.insert(node.name.clone(), nodes.len());
+                nodes.push(node);
+            }
+            if rest.len() == before {
+                let name = &rest[0].name;
+                return Err(format!(
+                    "teams.{name}.parent: is not a group, or goes round in a circle"
+                ));
+            }
+        }
+        let platform = |name: &Team| self.find(name).is_some();
+        for node in nodes.iter().skip(1) {
+            let parent = node.parent.map_or(&node.name, |p| &nodes[p].name);
+            if node.parent != Some(0) && platform(parent) {
+                let name = &node.name;
+                return Err(format!(
+                    "teams.{name}.parent: {parent} is a team, not a group"
+                ));
+            }
+        }
+        Ok(Self { nodes, index })
+    }
+
     /// The node of a team.
     pub fn find(&self, team: &Team) -> Option<usize> {
         self.index.get(team).copied()
@@ -85,6 +153,40 @@
     }
 }
 
+fn overlay(node: &mut TeamNode, own: &TeamSettings) -> Result<(), String> {
+    let name = node.name.clone();
+    let bad = |field: &str, text: &str| Err(format!("teams.{name}.{field}: {text}"));
+    let given = [
+        ("quota_cpus", own.quota_cpus),
+        ("quota_gpus", own.quota_gpus),
+        ("limit_cpus", own.limit_cpus),
+        ("limit_gpus", own.limit_gpus),
+        ("weight", own.weight),
+    ];
+    for (field, value) in given {
+        if value.is_some_and(|v| !(v.is_finite() && (0.0..=1e9).contains(&v))) {
+            return bad(field, "must be a number from 0 to 1e9");
+        }
+    }
+    for (kind, field, value) in [
+        (0, "limit_cpus", own.limit_cpus),
+        (1, "limit_gpus", own.limit_gpus),
+    ] {
+        if let Some(value) = value {
+            if value > node.limit[kind] {
+                return bad(field, "is more than the platform allows");
+            }
+            node.limit[kind] = value;
+        }
+    }
+    for (kind, value) in [(0, own.quota_cpus), (1, own.quota_gpus)] {
+        node.quota[kind] = value.unwrap_or(node.quota[kind]);
+    }
+    node.weight = own.weight.unwrap_or(node.weight);
+    node.priority = own.priority.unwrap_or(node.priority);
+    Ok(())
+}
+
 fn leaf(team: &TeamLimits) -> TeamNode {
     let or_none = |x: f64| if x > 0.0 { x } else { f64::INFINITY };
     let unlimited = team.cpus <= 0.0 && team.gpus <= 0.0;
@@ -106,3 +208,71 @@
         priority: 0,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn platform() -> TeamTree {
+        let team = |name: &str, cpus_max| TeamLimits {
+            name: name.into(),
+            cpus: 4.0,
+            cpus_max,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        TeamTree::from_limits(&[team("red", 10.0), team("blue", 0.0)])
+    }
+
+    fn settings(text: &str) -> BTreeMap<Team, TeamSettings> {
+        serde_json::from_str(text).expect("settings")
+    }
+
+    #[test]
+    fn operators_settings_are_laid_over_the_platforms() {
+        let text = r#"{"all":{"quota_cpus":6,"priority":2},
+            "red":{"parent":"all","limit_cpus":7.5,"weight":3}}"#;
+        let tree = platform().with(&settings(text)).expect("a tree");
+        let red = &tree.nodes[tree.find(&"red".into()).expect("red")];
+        let all = tree.find(&"all".into()).expect("all");
+        assert_eq!(
+            (red.parent, red.limit[0], red.weight),
+            (Some(all), 7.5, 3.0)
+        );
+        assert_eq!(tree.nodes[all].quota[0], 6.0);
+        assert!(red.parent < tree.find(&"red".into()), "parents come first");
+    }
+
+    #[test]
+    fn settings_that_cannot_be_are_named() {
+        let cases = [
+            (r#"{"red":{"limit_cpus":11}}"#, "teams.red.limit_cpus"),
+            (r#"{"red":{"weight":-1}}"#, "teams.red.weight"),
+            (r#"{"red":{"parent":"nobody"}}"#, "teams.red.parent"),
+            (r#"{"red":{"parent":"blue"}}"#, "teams.red.parent"),
+            (r#"{"a":{"parent":"b"},"b":{"parent":"a"}}"#, "parent"),
+        ];
+        for (text, named) in cases {
+            let message = platform().with(&settings(text)).expect_err(text);
+            assert!(
+                message.starts_with("teams.") && message.contains(named),
+                "{message}"
+            );
+        }
+    }
+
+    /// Otherwise its work at priority 100 or above, which runs only within quota, never could.
+    #[test]
+    fn a_team_without_any_quota_has_an_unlimited_one() {
+        let none = TeamLimits {
+            name: "partners".into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        let tree = TeamTree::from_limits(&[none]);
+        assert!(tree.nodes[1].quota.iter().all(|q| q.is_infinite()));
+        assert!(platform().nodes[1].quota[0].is_finite());
+    }
+}
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -240,6 +240,7 @@
                 let request = match forward {
                     Forward::Submit(text) => serde_json::from_str(&text).map(UserRequest::Submit),
                     Forward::Status(id) => Ok(UserRequest::Status(id.parse().expect("an id"))),
+                    Forward::Admin(_) => unreachable!("nobody administers here"),
                     Forward::Withdraw(id) => Ok(UserRequest::Withdraw(id.parse().expect("an id"))),
                 };
                 let asked = self.ask(to, Asker::Peer(from, req));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! only here, in serde renames. Unknown JSON fields are ignored everywhere.
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod cloud;
 pub mod ids;
 pub mod job;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -54,6 +54,8 @@
     Status(String),
     /// A withdrawal.
     Withdraw(String),
+    /// A path of the administration API that only the leader can answer.
+    Admin(String),
 }
 
 /// Answer to a forwarded request.
