The first leader of a deployment does not wait; nodes learn the catalog by their watch

A node waits at its start lest it has forgotten a word, but where nobody has ever led there is none.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines.
 
 use crate::actions::allowed;
-use crate::core::{Core, Purpose};
+use crate::core::Core;
 use crate::io::{CallId, CloudAnswer, CloudCall, Output};
 use crate::job::Job;
 use crate::lead::Lead;
@@ -624,14 +624,4 @@
             _ => {}
         }
     }
-
-    /// Reads the machine types that a leader has kept.
-    pub(crate) fn read_catalog(&mut self, now: Now) {
-        if self.catalog.is_none() && now.time >= self.next_catalog_read {
-            self.next_catalog_read = now.time + Span(1_000);
-            let call = crate::io::StateCall::Get(crate::records::CATALOG.into());
-            self.calls
-                .call(crate::state_calls::Urgency::User, call, Purpose::Catalog);
-        }
-    }
 }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -29,7 +29,6 @@
     Fill(Option<Version>),
     User(UserStep),
     Lead(u64, LeadStep),
-    Catalog,
     Settings(ReqId, Box<AdminSettings>),
 }
 
@@ -48,7 +47,6 @@
     pub(crate) platform_tree: TeamTree,
     pub(crate) admin_settings: Versioned,
     pub(crate) catalog: Option<Catalog>,
-    pub(crate) next_catalog_read: Time,
     pub(crate) directory: Directory,
     pub(crate) calls: StateCalls<Purpose>,
     pub(crate) cloud: CloudCalls,
@@ -91,7 +89,6 @@
                 settings: AdminSettings::default(),
             },
             catalog: None,
-            next_catalog_read: Time(0),
             directory: Directory::default(),
             calls: StateCalls::new(settings.params.state.rps * 0.8 / nodes as f64),
             cloud: CloudCalls::new(settings.params.cloud.rps * 0.8),
@@ -145,7 +142,6 @@
         let mine = self.lead.as_ref().map(|l| l.lease_id);
         let due = self.election.tick(now.time, leader, mine);
         self.election_calls(due);
-        self.read_catalog(now);
         self.confirm(now);
         if now.time >= self.next_beat {
             self.next_beat = now.time + BEAT;
@@ -175,13 +171,6 @@
                 }
             }
             Some(Purpose::Settings(req, new)) => self.settings_replaced(req, *new, answer),
-            Some(Purpose::Catalog) => {
-                if let StateAnswer::Found(item) = answer {
-                    if self.catalog.is_none() {
-                        self.catalog = serde_json::from_value(item.value).ok();
-                    }
-                }
-            }
             None => log::debug!("an answer that nobody waits for"),
         }
     }
@@ -276,18 +265,21 @@
         if !has_leader && !page.more && first >= self.directory.leader_seen {
             self.directory.learn_leader(first, None);
         }
-        self.hear_leader();
+        self.take_learned();
     }
 
     fn watched(&mut self, revision: Version, events: Vec<Event<Value>>) {
         for event in &events {
             self.directory.learn_event(event);
         }
-        self.hear_leader();
+        self.take_learned();
         self.out.push(Output::Watch(revision));
     }
 
-    fn hear_leader(&mut self) {
+    fn take_learned(&mut self) {
+        if let Some(catalog) = self.directory.catalog.take() {
+            self.catalog.get_or_insert(catalog);
+        }
         if let Some((version, settings)) = self.directory.admin.take() {
             self.take_up(version, settings);
         }
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -4,8 +4,9 @@
 //! and is confirmed with the state service first (see `reads`).
 
 use crate::io::Value;
-use crate::records::{JobRecord, LeaderRecord, ADMIN, JOBS, LEADER};
+use crate::records::{JobRecord, LeaderRecord, ADMIN, CATALOG, JOBS, LEADER};
 use rudderreel_wire::admin::AdminSettings;
+use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{JobId, Version};
 use rudderreel_wire::state::Event;
 use std::collections::BTreeMap;
@@ -28,6 +29,8 @@
     pub leader: Option<(Version, LeaderRecord)>,
     /// The newest revision at which the leader's key is known.
     pub leader_seen: Version,
+    /// Machine types as a leader has kept them.
+    pub catalog: Option<Catalog>,
     /// Operators' settings that have yet to be taken up.
     pub admin: Option<(Version, AdminSettings)>,
     /// Whether the first read is complete.
@@ -68,6 +71,8 @@
                 Ok(settings) => self.admin = Some((version, settings)),
                 Err(e) => log::error!("unreadable record {key}: {e}"),
             }
+        } else if key == CATALOG {
+            self.catalog = serde_json::from_value(value.clone()).ok();
         } else if let Some(id) = key.strip_prefix(JOBS).and_then(|id| id.parse().ok()) {
             match serde_json::from_value(value.clone()) {
                 Ok(record) => self.learn_job(id, version, record),
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -193,7 +193,7 @@
         let since = *self.vacant_since.get_or_insert(now);
         let ready = now >= since + Span(60 * self.rank)
             && now >= self.word_until
-            && now >= self.hold_off
+            && (now >= self.hold_off || !self.epoch_read)
             && self.state_ok(now);
         if ready && !self.campaigning {
             self.campaigning = true;
@@ -265,10 +265,17 @@
                 }
                 self.epoch_version = item.version;
             }
-            StateAnswer::Missing => self.epoch_version = Version(0),
+            // Nobody has ever led, so nobody can hold a word.
+            StateAnswer::Missing => {
+                self.epoch_version = Version(0);
+                self.hold_off = now;
+            }
             _ => return self.give_up(now),
         }
         self.epoch_read = true;
+        if now < self.hold_off {
+            return self.give_up(now);
+        }
         let call = StateCall::NewLease(LEASE.0);
         (Verdict::Nothing, vec![(call, Step::TakeLease)])
     }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -8,7 +8,7 @@
 //! | `epoch` | the leader | the last epoch given out |
 //! | `machine/<name>` | the leader, before a start is sent | every task that may be on it |
 //! | `progress/<id>` | the leader | which tasks are done |
-//! | `catalog` | the leader | machine types as last fetched |
+//! | `pub/catalog` | the leader | machine types as last fetched |
 
 use crate::units::Wall;
 use rudderreel_wire::ids::{
@@ -32,7 +32,7 @@
 /// Prefix of progress.
 pub const PROGRESS: &str = "progress/";
 /// The catalog's key.
-pub const CATALOG: &str = "catalog";
+pub const CATALOG: &str = "pub/catalog";
 
 /// A job's key.
 pub fn job_key(id: &JobId) -> String {
