--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -15,6 +15,9 @@
     Active,
     /// Its user withdrew it; what is left of it is being stopped.
     Cancelled(Wall),
+    /// It is done, but some of its tasks may still be somewhere and count for its team: a gang is
+    /// done when the first of its tasks says so.
+    Finished,
 }
 
 /// A job as the leader sees it. Done jobs are not kept.
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -670,9 +670,7 @@
     pub fn learn_job(&mut self, id: &JobId, version: Version, record: &crate::records::JobRecord) {
         use rudderreel_wire::job::JobState;
         match record.state {
-            JobState::Done => {
-                self.jobs.remove(id);
-            }
+            JobState::Done => self.finish(id),
             JobState::Cancelled => {
                 let wall = record.cancelled.unwrap_or(record.submitted);
                 if let Some(job) = self.jobs.get_mut(id) {
@@ -697,7 +695,18 @@
         }
     }
 
-    /// Stops what is left of cancelled jobs, and forgets those that nothing is left of.
+    /// A job is done. It is kept while some of its tasks may still be somewhere.
+    pub fn finish(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.stage = Stage::Finished;
+            job.progress = None;
+            if job.places.is_empty() {
+                self.jobs.remove(id);
+            }
+        }
+    }
+
+    /// Stops what is left of cancelled and finished jobs, and forgets those that nothing is left of.
     pub fn end_cancelled(&mut self, now: Now) {
         let cancelled: Vec<JobId> = (self.jobs.iter())
             .filter(|(_, j)| !j.is_active())
@@ -707,16 +716,16 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let Stage::Cancelled(wall) = job.stage else {
-                continue;
-            };
             if job.places.is_empty() && !job.committing {
                 if job.progress.is_none() {
                     self.jobs.remove(&id);
                 }
                 continue;
             }
-            let past = Span(now.wall.0.saturating_sub(wall.0));
+            let past = match job.stage {
+                Stage::Cancelled(wall) => Span(now.wall.0.saturating_sub(wall.0)),
+                _ => Span(0),
+            };
             let led = now.time - self.since;
             for (machine, attempt) in job.places.values().flatten().cloned().collect::<Vec<_>>() {
                 self.stop_on(&machine, &id, attempt, 0.0, "cancelled", now.time);
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -350,9 +350,11 @@
                     entry.settled |= ours && entry.phase == Phase::Exited(Cause::Done);
                 }
                 if complete {
-                    if let Some(job) = lead.jobs.remove(&id) {
+                    if let Some(job) = lead.jobs.get_mut(&id) {
                         log::info!("{id} is done");
+                        job.committing = false;
                         let record = JobRecord::done(job.spec.tasks, job.submitted);
+                        lead.finish(&id);
                         self.directory.learn_job(id, version, record);
                     }
                 } else if let Some(job) = lead.jobs.get_mut(&id) {
