--- /dev/null
+++ b/crates/core/src/commands.rs
@@ -0,0 +1,180 @@
+//! Commands for workers, and the single place where a start is decided.
+
+use crate::actions;
+use crate::job::Job;
+use crate::lead::Lead;
+use crate::possession::{Entry, Machine, Phase};
+use crate::units::{Resources, Span, Time};
+use rudderreel_wire::ids::MachineId;
+use rudderreel_wire::job::JobSpec;
+use rudderreel_wire::worker::{Command, TaskState};
+use std::collections::BTreeMap;
+
+impl Lead {
+    /// The single place where a start is decided: every rule is checked against everything that
+    /// may exist.
+    pub(crate) fn may_start(&self, machine: &Machine, entry: &Entry, now: Time) -> bool {
+        let Some(job) = self.jobs.get(&entry.task.job) else {
+            return false;
+        };
+        let elsewhere = (job.places.get(&entry.task.index)).is_some_and(|p| {
+            p.iter()
+                .any(|(m, a)| *m != machine.id || *a != entry.attempt)
+        });
+        let spec = &job.spec;
+        let fresh = (machine.last_heard).is_some_and(|t| now - t < self.lease);
+        let free = machine.free();
+        let rules = [
+            (self.ready && self.lease_valid(now), "leading"),
+            (job.is_active(), "job active"),
+            (!job.done.contains(&entry.task.index), "not done"),
+            (!elsewhere, "nowhere else"),
+            (entry.recorded && entry.stop.is_none(), "recorded"),
+            (machine.is_known(self.epoch) && fresh, "machine known"),
+            (machine.returning.is_none(), "machine kept"),
+            (
+                actions::allowed(spec, &machine.machine_type, &machine.zone, machine.spot),
+                "type, zone, kind",
+            ),
+            (free.cpus >= 0 && free.gpus >= 0 && free.memory >= 0, "room"),
+            (self.zones_hold(spec), "zones"),
+            (self.limit_holds(job), "limit"),
+        ];
+        match rules.iter().find(|(holds, _)| !holds) {
+            Some((_, rule)) => {
+                log::debug!("no start of {} on {}: {rule}", entry.task, machine.id);
+                false
+            }
+            None => true,
+        }
+    }
+
+    /// Whether everything of a job that may exist keeps to its zones, planned starts included.
+    pub(crate) fn zones_hold(&self, spec: &JobSpec) -> bool {
+        if !spec.spread && !spec.one_zone {
+            return true;
+        }
+        let mut zones = BTreeMap::new();
+        for machine in self.machines.values() {
+            let n = machine.tasks_of(&spec.id);
+            if n > 0 {
+                *zones.entry(&machine.zone).or_insert(0) += n;
+            }
+        }
+        zones.values().all(|&n| n <= spec.zone_cap()) && !(spec.one_zone && zones.len() > 1)
+    }
+
+    /// Whether everything of a team that may exist keeps to its limit, planned starts included.
+    pub(crate) fn limit_holds(&self, job: &Job) -> bool {
+        let Some(leaf) = self.tree.find(&job.spec.team) else {
+            return false;
+        };
+        self.tree.chain(leaf).all(|node| {
+            let limit = &self.tree.nodes[node].limit;
+            if limit.iter().all(|l| l.is_infinite()) {
+                return true;
+            }
+            let used = crate::tree::amounts(&self.used_below(node));
+            (0..crate::tree::KINDS).all(|k| used[k] <= limit[k] + 1e-9)
+        })
+    }
+
+    pub(crate) fn used_below(&self, node: usize) -> Resources {
+        let mut sum = Resources::default();
+        for entry in self.machines.values().flat_map(|m| &m.entries) {
+            let leaf = (self.jobs.get(&entry.task.job)).and_then(|j| self.tree.find(&j.spec.team));
+            let below = leaf.is_some_and(|leaf| self.tree.chain(leaf).any(|n| n == node));
+            if entry.holds_room() && below {
+                sum += entry.need;
+            }
+        }
+        sum
+    }
+
+    /// The commands for a machine: stops, then starts, and what its worker may forget when they
+    /// go out in the answer to a report. Direct calls can be late, so they never say that.
+    pub fn commands(&mut self, id: &MachineId, now: Time, direct: bool) -> Vec<Command> {
+        let Some(machine) = self.machines.get(id) else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        let mut started = Vec::new();
+        for entry in &machine.entries {
+            let (task, attempt) = (entry.task.clone(), entry.attempt);
+            if entry.may_forget() && !direct {
+                commands.push(Command::Forget { task, attempt });
+            } else if let (Some(stop), true) = (entry.stop, entry.holds_room()) {
+                let told = entry.phase == Phase::On(TaskState::Saving);
+                if !told {
+                    commands.insert(
+                        0,
+                        Command::Stop {
+                            task,
+                            attempt,
+                            grace_s: stop.grace_s,
+                        },
+                    );
+                }
+            } else if matches!(entry.phase, Phase::Planned | Phase::Sent)
+                && !(direct && entry.phase == Phase::Sent && entry.sent.0 == self.epoch)
+                && self.may_start(machine, entry, now)
+            {
+                commands.push(Command::Start { task, attempt });
+                started.push((entry.task.clone(), attempt));
+            }
+        }
+        let epoch = self.epoch;
+        if let Some(machine) = self.machines.get_mut(id) {
+            let session = machine.newest.0;
+            for (task, attempt) in started {
+                if let Some(entry) = machine.entry_mut(&task, attempt) {
+                    entry.phase = Phase::Sent;
+                    entry.sent = (epoch, session);
+                    entry.in_flight += u32::from(direct);
+                }
+            }
+        }
+        commands
+    }
+
+    /// Direct starts have ended, with or without an answer.
+    pub fn direct_ended(&mut self, id: &MachineId, commands: &[Command], unsure: bool) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        machine.direct_open = false;
+        for command in commands {
+            if let Command::Start { task, attempt } = command {
+                if let Some(entry) = machine.entry_mut(task, *attempt) {
+                    entry.in_flight = entry.in_flight.saturating_sub(1);
+                    entry.unsure |= unsure;
+                }
+            }
+        }
+    }
+
+    /// Whether commands are waiting that a direct call would speed up.
+    pub fn wants_direct(&self, machine: &Machine, now: Time) -> bool {
+        if machine.direct_open || machine.direct_after > now || !machine.is_known(self.epoch) {
+            return false;
+        }
+        machine.entries.iter().any(|e| {
+            let start = e.recorded && e.phase == Phase::Planned && e.stop.is_none();
+            let stop =
+                e.stop.is_some() && e.holds_room() && e.phase != Phase::On(TaskState::Saving);
+            start || stop
+        })
+    }
+
+    /// Whether a start of unknown outcome stands in the way and only a new epoch rules it out.
+    pub fn wants_fence(&self, now: Time) -> bool {
+        let stuck = |e: &Entry| {
+            let ended = matches!(e.phase, Phase::Exited(_)) && e.settled && e.unsure;
+            let missing = e.missing.is_some_and(|since| now > since + Span(3_000));
+            ended || (missing && e.stop.is_some())
+        };
+        now > self.raised.0 + Span(5_000)
+            && (self.machines.values())
+                .any(|m| m.is_known(self.epoch) && m.entries.iter().any(stuck))
+    }
+}
--- /dev/null
+++ b/crates/core/src/cycle.rs
@@ -0,0 +1,387 @@
+//! What a leader decides: cycles, cancelled and finished jobs, machines that are taken or lost.
+
+use crate::actions;
+use crate::job::{Job, Stage};
+use crate::lead::{Lead, Reserve, LATELY, STALLED};
+use crate::possession::{Entry, Machine, Phase, Stop};
+use crate::records::MachineRecord;
+use crate::snapshot::Snapshot;
+use crate::statement::Placement;
+use crate::units::{Now, Resources, Span, Time, Wall};
+use rudderreel_wire::ids::{Attempt, Image, JobId, MachineId, Version};
+use rudderreel_wire::job::Kind;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Lead {
+    /// Takes in a job's record.
+    pub fn learn_job(&mut self, id: &JobId, version: Version, record: &crate::records::JobRecord) {
+        use rudderreel_wire::job::JobState;
+        match record.state {
+            JobState::Done => self.finish(id),
+            JobState::Cancelled => {
+                let wall = record.cancelled.unwrap_or(record.submitted);
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.version = version;
+                    job.stage = Stage::Cancelled(wall);
+                } else if let Some(spec) = &record.spec {
+                    if !self.ready {
+                        let mut job = Job::new(spec.clone(), version, record.submitted);
+                        job.stage = Stage::Cancelled(wall);
+                        self.jobs.insert(id.clone(), job);
+                    }
+                }
+            }
+            _ => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.version = version;
+                } else if let Some(spec) = &record.spec {
+                    let job = Job::new(spec.clone(), version, record.submitted);
+                    self.jobs.insert(id.clone(), job);
+                }
+            }
+        }
+    }
+
+    /// A job is done. It is kept while some of its tasks may still be somewhere.
+    pub fn finish(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.stage = Stage::Finished;
+            job.progress = None;
+            if job.places.is_empty() {
+                self.jobs.remove(id);
+            }
+        }
+    }
+
+    /// Stops what is left of cancelled and finished jobs, and forgets those that nothing is left of.
+    pub fn end_cancelled(&mut self, now: Now) {
+        let cancelled: Vec<JobId> = (self.jobs.iter())
+            .filter(|(_, j)| !j.is_active())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in cancelled {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if job.places.is_empty() && !job.committing {
+                if job.progress.is_none() {
+                    self.jobs.remove(&id);
+                }
+                continue;
+            }
+            let past = match job.stage {
+                Stage::Cancelled(wall) => Span(now.wall.0.saturating_sub(wall.0)),
+                _ => Span(0),
+            };
+            let led = now.time - self.since;
+            for (machine, attempt) in job.places.values().flatten().cloned().collect::<Vec<_>>() {
+                self.stop_on(&machine, &id, attempt, 0.0, "cancelled", now.time);
+                let limits = (self.cancel, self.report);
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    if must_return(m, past, led, limits, now.time) {
+                        m.retire.get_or_insert("holds a cancelled job");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Decides one cycle.
+    pub fn cycle(&mut self, now: Now) {
+        self.drop_stalled(now.time);
+        let mut picture = Snapshot::take(self, now);
+        let mut scenario = actions::Scenario::default();
+        let mut placements = actions::allocate(self, &mut picture, true);
+        actions::reclaim(self, &mut picture, &mut scenario);
+        actions::preempt(self, &mut picture, &mut scenario);
+        placements.extend(actions::allocate(self, &mut picture, false));
+        if scenario.evictions.is_empty() && now.time >= self.next_move {
+            let emptied = actions::consolidate(self, &mut picture, &mut scenario);
+            if let Some(machine) = emptied.and_then(|id| self.machines.get_mut(&id)) {
+                machine.cordon = now.time + Span(3 * self.period.0);
+                self.next_move = now.time + self.period;
+            }
+        }
+        placements.extend(scenario.placements);
+        self.apply(placements, now.time);
+        for eviction in scenario.evictions {
+            let grace = (self.jobs.get(&eviction.task.job)).map_or(0.0, |j| j.spec.save_s);
+            log::debug!("{} is {}", eviction.task, eviction.why);
+            let entry = (self.machines.get_mut(&eviction.machine))
+                .and_then(|m| m.entry_mut(&eviction.task, eviction.attempt));
+            if let Some(entry) = entry {
+                entry.stop = Some(Stop {
+                    grace_s: grace,
+                    since: now.time,
+                    why: eviction.why,
+                });
+            }
+        }
+        self.plan_capacity(&picture, now);
+    }
+
+    /// Jobs with tasks to start, in order.
+    pub fn waiting(&self, now: Time) -> Vec<&Job> {
+        let mut jobs: Vec<&Job> = (self.jobs.values())
+            .filter(|j| j.is_active() && j.not_before <= now && j.free_tasks() > 0)
+            .filter(|j| j.spec.kind != Kind::Gang || j.places.is_empty())
+            .collect();
+        jobs.sort_by_key(|j| j.order());
+        jobs
+    }
+
+    /// Whether a job's start can't wait for its image to be fetched, by what users say.
+    pub fn is_picky(&self, job: &Job) -> bool {
+        let slowest = (self.catalog.types.iter())
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min);
+        let fetch = Span::secs(job.spec.image_gb / slowest.max(1e-3));
+        !job.evictable() && (self.wait_aims.get(&job.spec.class)).is_some_and(|w| *w < fetch)
+    }
+
+    /// Placements that wait for room which does not come free are taken back.
+    pub(crate) fn drop_stalled(&mut self, now: Time) {
+        let stalled: Vec<(MachineId, JobId, Attempt)> = (self.machines.values())
+            .flat_map(|m| m.entries.iter().map(move |e| (m, e)))
+            .filter(|(_, e)| e.phase == Phase::Planned && now > e.placed + STALLED)
+            .map(|(m, e)| (m.id.clone(), e.task.job.clone(), e.attempt))
+            .collect();
+        for (machine, job, attempt) in stalled {
+            self.stop_on(&machine, &job, attempt, 0.0, "stalled", now);
+        }
+    }
+
+    /// Room for urgent work that may come before a machine could be had: by need, as many tasks
+    /// as came lately in the time that a machine takes to boot, and two standard deviations more.
+    pub fn reserve(&self, now: Now) -> Vec<Reserve> {
+        let boot = (self.catalog.types.iter())
+            .map(|t| t.boot_s)
+            .fold(0.0, f64::max);
+        let mut came: Vec<(Resources, u32, BTreeSet<Image>)> = Vec::new();
+        for job in self
+            .jobs
+            .values()
+            .filter(|j| j.is_active() && !j.evictable())
+        {
+            let urgent = (self.wait_aims.get(&job.spec.class)).is_some_and(|w| w.as_secs() < boot);
+            let age = Span(now.wall.0.saturating_sub(job.submitted.0));
+            if !urgent || job.spec.kind != Kind::Service {
+                continue;
+            }
+            let tasks = if age > LATELY { 0 } else { job.spec.tasks };
+            let image = job.spec.image.clone();
+            match came.iter_mut().find(|(need, ..)| *need == job.need) {
+                Some((_, n, images)) => {
+                    *n += tasks;
+                    images.insert(image);
+                }
+                None => came.push((job.need, tasks, BTreeSet::from([image]))),
+            }
+        }
+        let per_boot = |n: u32| f64::from(n) * boot / LATELY.as_secs();
+        (came.into_iter())
+            .map(|(need, n, images)| Reserve {
+                need,
+                images,
+                tasks: (self.reserve_factor * (per_boot(n) + 2.0 * per_boot(n).sqrt())).ceil()
+                    as u32,
+            })
+            .collect()
+    }
+
+    pub(crate) fn apply(&mut self, placements: Vec<Placement>, now: Time) {
+        let mut gangs: BTreeMap<JobId, Attempt> = BTreeMap::new();
+        for placement in placements {
+            let id = placement.task.job.clone();
+            let Some((need, gang)) =
+                (self.jobs.get(&id)).map(|j| (j.need, j.spec.kind == Kind::Gang))
+            else {
+                continue;
+            };
+            let attempt = match gangs.get(&id) {
+                Some(&attempt) => attempt,
+                None => self.next_attempt(),
+            };
+            if gang {
+                gangs.insert(id.clone(), attempt);
+            }
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.place(placement.task.index, &placement.machine, attempt);
+            }
+            if let Some(machine) = self.machines.get_mut(&placement.machine) {
+                log::debug!(
+                    "{} attempt {attempt} goes on {}",
+                    placement.task,
+                    machine.id
+                );
+                let entry = Entry::planned(placement.task, attempt, need, now);
+                machine.entries.push(entry);
+                machine.dirty = true;
+                machine.idle = None;
+            }
+        }
+    }
+
+    /// Tasks of each job that run, for display.
+    pub fn running(&self) -> BTreeMap<JobId, u32> {
+        let mut counts = BTreeMap::new();
+        for entry in self.machines.values().flat_map(|m| &m.entries) {
+            if entry.is_running() {
+                *counts.entry(entry.task.job.clone()).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    /// A machine's record as it should be.
+    pub fn machine_record(machine: &Machine) -> MachineRecord {
+        MachineRecord {
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            since: machine.since,
+            tasks: (machine.entries.iter())
+                .filter(|e| e.holds_room())
+                .map(|e| (e.task.clone(), e.attempt))
+                .collect(),
+        }
+    }
+
+    /// Spot machines that will be taken: what can save is stopped in time to save, what can't
+    /// and won't finish is stopped at once, to start again elsewhere.
+    pub fn drain(&mut self, now: Time) {
+        let mut stops = Vec::new();
+        for machine in self.machines.values() {
+            let Some(notice) = machine.notice else {
+                continue;
+            };
+            let left = notice - now;
+            for entry in machine.entries.iter().filter(|e| e.stop.is_none()) {
+                let Some(job) = self.jobs.get(&entry.task.job) else {
+                    continue;
+                };
+                let saves = job.spec.checkpoint_s > 0.0;
+                // Notices may come half as long as nominal.
+                let in_time = Span::secs(job.spec.save_s + 3.0);
+                let ran = entry.running.map_or(Span(0), |t| now - t);
+                let needed = Span::secs((job.spec.estimate_s - ran.as_secs()).max(0.0));
+                let finishes = entry.running.is_some() && needed < left;
+                let stop = if saves { left <= in_time } else { !finishes };
+                if stop && entry.holds_room() {
+                    let grace = if saves { job.spec.save_s } else { 0.0 };
+                    stops.push((
+                        machine.id.clone(),
+                        entry.task.job.clone(),
+                        entry.attempt,
+                        grace,
+                    ));
+                }
+            }
+        }
+        for (machine, job, attempt, grace) in stops {
+            self.stop_on(&machine, &job, attempt, grace, "machine is taken back", now);
+        }
+    }
+
+    /// Machines whose leases have surely run out hold nothing any more.
+    pub fn expire(&mut self, now: Now) {
+        let (lease, fence) = (self.lease, self.fence);
+        let over: Vec<MachineId> = (self.machines.values())
+            .filter(|m| !m.entries.is_empty() && m.lease_surely_over(now.time, lease, fence))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in over {
+            log::info!("the lease of {id} has surely run out");
+            self.empty_machine(&id, now);
+        }
+    }
+
+    /// Everything on a machine is surely gone.
+    pub fn empty_machine(&mut self, id: &MachineId, now: Now) {
+        let gone = self
+            .machines
+            .get_mut(id)
+            .map(Machine::clear)
+            .unwrap_or_default();
+        for (task, attempt) in gone {
+            self.vanished(id, &task, attempt, now);
+        }
+    }
+
+    /// Forgets a machine that is surely gone.
+    pub fn drop_machine(&mut self, id: &MachineId, now: Now) -> Option<Version> {
+        self.empty_machine(id, now);
+        self.returned.insert(id.clone(), now.time);
+        self.wake(now.time);
+        self.machines.remove(id).and_then(|m| m.record)
+    }
+
+    /// A machine that has become known in some other way than by a report.
+    pub fn expect_machine(&mut self, machine: Machine) {
+        if !self.returned.contains_key(&machine.id) {
+            self.machines.entry(machine.id.clone()).or_insert(machine);
+        }
+    }
+
+    /// Whether a machine is expected to come up.
+    pub fn is_booting(&self) -> bool {
+        (self.machines.values()).any(|m| m.last_heard.is_none() && m.returning.is_none())
+    }
+
+    /// Age of a machine by the time of day.
+    pub fn age(machine: &Machine, wall: Wall) -> Span {
+        Span(wall.0.saturating_sub(machine.since.0))
+    }
+}
+
+/// Whether a machine must be returned since it may hold a task of a job that was cancelled so long
+/// ago. One that can't be reached is returned in good time, for the cloud may be away for a while
+/// itself. What a new leader has read back may be long out of date, so it waits to hear machines
+/// first: a machine may hold much else.
+fn must_return(m: &Machine, past: Span, led: Span, limits: (Span, Span), now: Time) -> bool {
+    let (cancel, report) = limits;
+    let silent = m.last_heard.is_none_or(|t| now - t > Span(report.0 * 3));
+    let in_good_time = past > Span(cancel.0 / 2) && led > Span(report.0 * 3) && silent;
+    let at_last = past + Span(8_000) > cancel && led > Span(report.0 * 2);
+    in_good_time || at_last
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(heard: Option<Time>) -> Machine {
+        let (t, z) = ("m4".into(), "a".into());
+        let mut m = Machine::new("vm-1".into(), t, z, false, Resources::default(), Wall(0));
+        m.last_heard = heard;
+        m
+    }
+
+    /// A new leader read back that a machine may hold a task of a job that was cancelled long
+    /// ago. It returned the machine at once, with twenty replicas that ran on it.
+    #[test]
+    fn a_new_leader_hears_machines_before_it_returns_them() {
+        let limits = (Span(37_000), Span(2_500));
+        let now = Time(1_000_000);
+        let long = Span(300_000);
+        assert!(!must_return(&machine(None), long, Span(30), limits, now));
+        assert!(must_return(&machine(None), long, Span(8_000), limits, now));
+    }
+
+    #[test]
+    fn a_machine_that_is_heard_is_returned_only_at_last() {
+        let limits = (Span(37_000), Span(2_500));
+        let now = Time(1_000_000);
+        let led = Span(60_000);
+        let heard = machine(Some(now));
+        assert!(!must_return(&heard, Span(25_000), led, limits, now));
+        assert!(must_return(&heard, Span(30_000), led, limits, now));
+        assert!(must_return(
+            &machine(Some(Time(0))),
+            Span(20_000),
+            led,
+            limits,
+            now
+        ));
+    }
+}
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -394,11 +394,7 @@
                     vec![(call, Step::Verify(lease, since, epoch))],
                 )
             }
-            _ => {
-                let (verdict, mut calls) = self.give_up(now);
-                calls.push((StateCall::EndLease(lease), Step::End));
-                (verdict, calls)
-            }
+            _ => self.drop_claim(now, lease),
         }
     }
 
@@ -421,9 +417,7 @@
         let answered = matches!(answer, StateAnswer::Found(_) | StateAnswer::Missing);
         if answered && now > since + Span(2 * LEASE.0) {
             self.claim_unsure = false;
-            let (verdict, mut calls) = self.give_up(now);
-            calls.push((StateCall::EndLease(lease), Step::End));
-            return (verdict, calls);
+            return self.drop_claim(now, lease);
         }
         let call = StateCall::Get(LEADER.into());
         (
@@ -449,6 +443,12 @@
         (Verdict::Won(epoch, lease, since, version), vec![])
     }
 
+    fn drop_claim(&mut self, now: Time, lease: LeaseId) -> (Verdict, Vec<(StateCall, Step)>) {
+        let (verdict, mut calls) = self.give_up(now);
+        calls.push((StateCall::EndLease(lease), Step::End));
+        (verdict, calls)
+    }
+
     fn give_up(&mut self, now: Time) -> (Verdict, Vec<(StateCall, Step)>) {
         self.campaigning = false;
         self.hold_off = self.hold_off.max(now + Span(300 + 100 * self.rank));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,9 @@
 mod tree;
 pub mod units;
 
+mod commands;
 mod core;
+mod cycle;
 pub use crate::core::Core;
 pub use admin::AdminRequest;
 pub use io::{
