--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -4,6 +4,9 @@
 mod worker;
 mod world;
 
+use rudderreel_core::AdminRequest;
+use rudderreel_wire::admin::{AdminSettings, Versioned};
+use rudderreel_wire::ids::Version;
 use rudderreel_wire::job::{JobState, Kind};
 use world::World;
 
@@ -45,3 +48,52 @@
         assert_eq!(unfinished(&world), Vec::<String>::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn operators_settings_are_versioned_and_reach_every_node() {
+    let mut world = World::new(7);
+    world.run_until(20_000);
+    let replace = |version: u64, change: fn(&mut AdminSettings)| {
+        let mut settings = AdminSettings::default();
+        change(&mut settings);
+        let version = Version(version);
+        AdminRequest::Replace(Box::new(Versioned { version, settings }))
+    };
+    let (status, body) = world.admin(0, replace(0, |s| s.reclaim_multiplier = 0.5));
+    assert_eq!(status, 400);
+    assert!(body["error"]
+        .as_str()
+        .expect("text")
+        .starts_with("reclaim_multiplier"));
+    let (status, body) = world.admin(0, replace(0, |s| s.keep_idle_s = 7.0));
+    assert_eq!(status, 200);
+    let version = body["version"].as_u64().expect("a version");
+    for node in 0..3 {
+        let (_, seen) = world.admin(node, AdminRequest::Settings);
+        assert_eq!(seen["settings"]["keep_idle_s"], 7.0, "node {node}");
+        assert_eq!(seen["version"], version);
+    }
+    assert_eq!(
+        world.admin(1, replace(0, |s| s.period_s = 3.0)).0,
+        409,
+        "a stale version"
+    );
+    assert_eq!(
+        world.admin(2, replace(version, |s| s.period_s = 3.0)).0,
+        200
+    );
+    // What only the leader knows is told by every node.
+    for node in 0..3 {
+        let (status, teams) = world.admin(node, AdminRequest::Teams);
+        assert_eq!(
+            (status, teams["teams"].as_array().map(Vec::len)),
+            (200, Some(2))
+        );
+    }
+    world.store.set_down(true, world.now);
+    world.run_until(world.now + 3_000);
+    assert_eq!(
+        world.admin(0, replace(version, |s| s.period_s = 4.0)).0,
+        503
+    );
+}
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rudderreel_core::units::{Now, Time, Wall};
+use rudderreel_core::AdminRequest;
 use rudderreel_core::{
     CallId, Core, DirectOutcome, Input, Output, ReqId, StateAnswer, UserRequest,
 };
@@ -24,6 +25,7 @@
     User(JobId, Asked),
     Peer(usize, ReqId),
     Beat(usize, Time),
+    Admin,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -86,6 +88,7 @@
     pub faults: bool,
     pub starts: u32,
     pub max_jobs: u32,
+    admin_answer: Option<(u16, String)>,
 }
 
 const LEASE_MS: u64 = 6_000;
@@ -140,6 +143,7 @@
             faults: false,
             starts: 0,
             max_jobs: 24,
+            admin_answer: None,
         };
         for node in 0..3 {
             world.start(node);
@@ -240,7 +244,11 @@
                 let request = match forward {
                     Forward::Submit(text) => serde_json::from_str(&text).map(UserRequest::Submit),
                     Forward::Status(id) => Ok(UserRequest::Status(id.parse().expect("an id"))),
-                    Forward::Admin(_) => unreachable!("nobody administers here"),
+                    Forward::Admin(path) => {
+                        let asked = self.ask(to, Asker::Peer(from, req));
+                        let request = AdminRequest::of_path(&path).expect("a path");
+                        return self.step(to, Input::Admin(asked, request, false));
+                    }
                     Forward::Withdraw(id) => Ok(UserRequest::Withdraw(id.parse().expect("an id"))),
                 };
                 let asked = self.ask(to, Asker::Peer(from, req));
@@ -478,6 +486,7 @@
                 self.after(hop, Event::Input(from, life, input));
             }
             Asker::Beat(..) => {}
+            Asker::Admin => self.admin_answer = Some((status, body)),
         }
     }
 
@@ -602,13 +611,22 @@
         told.last = Some(state);
     }
 
+    /// An administrator's request at a node, and its answer.
+    pub fn admin(&mut self, node: usize, request: AdminRequest) -> (u16, Value) {
+        self.admin_answer = None;
+        let req = self.ask(node, Asker::Admin);
+        self.step(node, Input::Admin(req, request, true));
+        self.run_until(self.now + 500);
+        let (status, body) = self.admin_answer.take().expect("an answer");
+        (status, serde_json::from_str(&body).expect("JSON"))
+    }
+
     // --- faults ---
 
     fn fault(&mut self) {
         let next = self.rng.random_range(1_500..6_000);
         self.after(next, Event::Fault);
         if !self.faults {
-            self.store.set_down(false, self.now);
             return;
         }
         let node = self.rng.random_range(0..3);
