Room for a large gang is gathered early, with backfill, and kept machines are not returned

Ruled out: capacity (202 GPU machines were up).

Now the largest gather first (the larger the part of the fleet, the sooner), what will have ended by the time they have enough is let in, and what a waiting gang counts on is not idle.

--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -43,11 +43,19 @@
 }
 
 /// Whether it is kept for a gang for which room is gathered. Work that can't be evicted comes
-/// before that.
+/// before that, and work that will have ended when the gang has enough room is let in meanwhile.
 fn is_kept(job: &Job, spot: &Spot) -> bool {
-    job.evictable() && (spot.kept_for.as_ref()).is_some_and(|id| *id != job.spec.id)
+    job.evictable()
+        && (spot.kept_for.as_ref()).is_some_and(|(id, ready_s)| {
+            *id != job.spec.id && job.spec.estimate_s * OVERRUN + FETCH_S > *ready_s
+        })
 }
 
+/// Owners' estimates are often too short by half.
+const OVERRUN: f64 = 1.4;
+/// What a start takes besides.
+const FETCH_S: f64 = 8.0;
+
 /// Work without GPUs stays off machines with free GPUs if it could ever run elsewhere, and
 /// replicas off all machines with GPUs: they would hold them long after the GPUs' work is done.
 fn wastes_gpus(lead: &Lead, job: &Job, spot: &Spot) -> bool {
--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -2,7 +2,8 @@
 //!
 //! A gang of many tasks in one zone would wait for ever while smaller work takes each machine that
 //! comes free. So once it is overdue, machines of one zone are kept for it: those that will be free
-//! soonest. Nothing else that could wait goes on them, and when enough are free it is placed whole.
+//! soonest. What would not have ended by the time that enough are free does not go on them, and
+//! then the gang is placed whole.
 
 use super::fit;
 use crate::job::Job;
@@ -11,7 +12,7 @@
 use rudderreel_wire::job::Kind;
 
 /// For so many gangs room is gathered at the same time.
-const GANGS: usize = 2;
+const GANGS: usize = 4;
 
 /// Keeps machines for gangs that are overdue.
 pub fn keep_room(lead: &Lead, picture: &mut Snapshot, waiting: &[&Job]) {
@@ -33,8 +34,10 @@
         let best = (zones.into_iter())
             .filter_map(|zone| soonest(lead, picture, job, zone))
             .min_by(|a, b| a.0.total_cmp(&b.0));
-        for at in best.map(|(_, spots)| spots).unwrap_or_default() {
-            picture.spots[at].kept_for = Some(job.spec.id.clone());
+        if let Some((ready_s, spots)) = best {
+            for at in spots {
+                picture.spots[at].kept_for = Some((job.spec.id.clone(), ready_s));
+            }
         }
     }
 }
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -14,7 +14,9 @@
 /// A job that has waited so long for its first start goes before others of its priority, whatever
 /// its size. Users take a job that does not begin within four minutes for not served; room for a
 /// large one takes a while to come free.
-const PATIENCE: Span = Span(60_000);
+const PATIENCE: Span = Span(80_000);
+/// How long it takes until the whole of a busy fleet has come free once, about.
+const GATHER_S: f64 = 400.0;
 
 impl Lead {
     /// Takes in a job's record.
@@ -119,7 +121,18 @@
                 });
             }
         }
-        self.plan_capacity(&picture, now);
+        let counted_on = self.plan_capacity(&picture, now);
+        let kept = picture.spots.iter().filter(|s| s.kept_for.is_some());
+        let needed: Vec<MachineId> = (kept.map(|s| &s.id))
+            .chain(counted_on.iter().map(|&i| &picture.spots[i].id))
+            .cloned()
+            .collect();
+        for id in needed {
+            // It waits for others to come free or to boot: it must not go back as idle meanwhile.
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.idle = None;
+            }
+        }
     }
 
     /// Jobs with tasks to start, in order.
@@ -132,10 +145,20 @@
         jobs
     }
 
-    /// How long a job may wait for its first start before it goes before others.
+    /// How long a job may wait for its first start before it goes before others. The more of the
+    /// fleet a gang needs at once, the longer that takes to come free, and the sooner it must begin
+    /// to gather.
     pub fn patience(&self, job: &Job) -> Span {
-        let aim = self.longest_wait.get(&job.spec.class).copied();
-        aim.map_or(PATIENCE, |aim| Span(aim.0 / 3).min(PATIENCE))
+        if job.spec.kind != Kind::Gang || job.spec.tasks < 2 {
+            return PATIENCE;
+        }
+        let fleet: u32 = (self.machines.values())
+            .filter(|m| m.last_heard.is_some())
+            .map(|m| m.room.count(&job.need))
+            .fold(0, u32::saturating_add);
+        let part = f64::from(job.spec.tasks) / f64::from(fleet.max(1));
+        let early = (part * GATHER_S * 1000.0) as u64;
+        Span(PATIENCE.0.saturating_sub(early).max(PATIENCE.0 / 8))
     }
 
     /// Whether a job has waited too long for its first start.
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -43,8 +43,9 @@
 type Zones = BTreeMap<Zone, u32>;
 
 impl Lead {
-    /// Decides which machines to rent for work that found no room.
-    pub fn plan_capacity(&mut self, picture: &Snapshot, now: Now) {
+    /// Decides which machines to rent for work that found no room. Returns the free machines that
+    /// gangs which wait for more count on, by their place in the picture.
+    pub fn plan_capacity(&mut self, picture: &Snapshot, now: Now) -> Vec<usize> {
         let mut plan = Plan {
             bins: self.coming(),
             wanted: BTreeMap::new(),
@@ -64,6 +65,7 @@
             }
         }
         self.ask(plan.wanted);
+        (0..plan.spare.len()).filter(|&i| !plan.spare[i]).collect()
     }
 
     fn ask(&mut self, wanted: BTreeMap<Offer, u32>) {
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -67,8 +67,6 @@
     pub wait_aims: BTreeMap<Class, Span>,
     /// The shortest time in which users want jobs of a class done.
     pub done_aims: BTreeMap<Class, Span>,
-    /// The longest time in which users want tasks of a class to start.
-    pub longest_wait: BTreeMap<Class, Span>,
     /// Bytes that a page of the books may have.
     pub page_bytes: usize,
     /// Changes that a commit may make.
@@ -163,9 +161,8 @@
             multiplier: 1.0,
             min_runtime: Span(30_000),
             preempt_min_runtime: Span(0),
-            wait_aims: aims(settings, "wait", Span::min),
-            done_aims: aims(settings, "finished", Span::min),
-            longest_wait: aims(settings, "wait", Span::max),
+            wait_aims: aims(settings, "wait"),
+            done_aims: aims(settings, "finished"),
             page_bytes: page_bytes(settings.params.state.value_kb),
             page_ops: settings.params.state.txn_ops.max(2),
             books: Books::default(),
@@ -574,14 +571,14 @@
     }
 }
 
-/// By class, the time that users state in aims of a kind; of several, the one that is picked.
-fn aims(settings: &Settings, kind: &str, pick: fn(Span, Span) -> Span) -> BTreeMap<Class, Span> {
+/// By class, the shortest time that users state in aims of a kind.
+fn aims(settings: &Settings, kind: &str) -> BTreeMap<Class, Span> {
     let mut found = BTreeMap::new();
     for aim in settings.params.objectives.iter().filter(|o| o.kind == kind) {
         if let (Some(class), Some(within)) = (&aim.class, aim.within_s) {
             let within = Span::secs(within);
             (found.entry(class.clone()))
-                .and_modify(|span| *span = pick(*span, within))
+                .and_modify(|span| *span = within.min(*span))
                 .or_insert(within);
         }
     }
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -42,8 +42,8 @@
     pub evictable: Resources,
     /// Free room that is held back from evictable work.
     pub held: Resources,
-    /// It is kept for a gang for which room is gathered.
-    pub kept_for: Option<JobId>,
+    /// It is kept for a gang for which room is gathered, which will have enough in so many seconds.
+    pub kept_for: Option<(JobId, f64)>,
 }
 
 /// The picture.
