Gangs gather in time to begin, images are fetched one at a time, workers stay spread

Now a leader that has not read back counts as leading many machines; room is gathered when waiting plus 1.5 times the time to come free nears the bound; a machine that fetches nothing is preferred.

--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -129,7 +129,8 @@
     } else if has(&spot.fetching, image) {
         1
     } else {
-        2
+        // Images that are fetched at the same time share the rate.
+        2 + spot.fetches()
     };
     let kind = u32::from(job.spec.spot != spot.spot);
     let left = (spot.free - job.need).cpus as f64 / spot.room.cpus.max(1) as f64;
--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -1,7 +1,7 @@
 //! Room is gathered for a gang that has waited too long.
 //!
 //! A gang of many tasks in one zone would wait for ever while smaller work takes each machine that
-//! comes free. So once it is overdue, machines of one zone are kept for it: those that will be free
+//! comes free. So in good time machines of one zone are kept for it: those that will be free
 //! soonest. What would not have ended by the time that enough are free does not go on them, and
 //! then the gang is placed whole.
 
@@ -9,23 +9,33 @@
 use crate::job::Job;
 use crate::lead::Lead;
 use crate::snapshot::{Snapshot, Spot};
+use crate::units::Span;
 use rudderreel_wire::job::Kind;
 
 /// For so many gangs room is gathered at the same time.
 const GANGS: usize = 4;
+/// So many waiting gangs are looked at.
+const DEPTH: usize = 24;
+/// Users take a job that does not begin within four minutes for not served. Room is gathered in
+/// time for a gang to begin well before, and not sooner: meanwhile smaller work goes first.
+const BEGIN_S: f64 = 140.0;
+/// Gathering takes longer than owners' estimates say.
+const SLOWER: f64 = 1.5;
+/// What boots and fetches may add.
+const MARGIN_S: f64 = 30.0;
 
-/// Keeps machines for gangs that are overdue.
+/// Keeps machines for gangs that would not begin in time otherwise, longest waiting first.
 pub fn keep_room(lead: &Lead, picture: &mut Snapshot, waiting: &[&Job]) {
     for spot in &mut picture.spots {
         spot.kept_for = None;
     }
-    let gangs = waiting.iter().filter(|j| {
-        j.spec.kind == Kind::Gang
-            && j.spec.tasks > 1
-            && picture.taken(&j.spec.id) == 0
-            && lead.is_overdue(j, picture.now.wall)
-    });
-    for job in gangs.take(GANGS).copied().collect::<Vec<_>>() {
+    picture.gathering.clear();
+    let mut gangs: Vec<&Job> = (waiting.iter().copied())
+        .filter(|j| j.spec.kind == Kind::Gang && j.spec.tasks > 1 && !j.begun)
+        .filter(|j| picture.taken(&j.spec.id) == 0)
+        .collect();
+    gangs.sort_by_key(|j| j.submitted);
+    for job in gangs.into_iter().take(DEPTH) {
         let zones: Vec<Option<usize>> = if job.spec.one_zone {
             (0..picture.zone_names.len()).map(Some).collect()
         } else {
@@ -34,10 +44,19 @@
         let best = (zones.into_iter())
             .filter_map(|zone| soonest(lead, picture, job, zone))
             .min_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some((ready_s, spots)) = best {
-            for at in spots {
-                picture.spots[at].kept_for = Some((job.spec.id.clone(), ready_s));
-            }
+        let Some((ready_s, spots)) = best else {
+            continue;
+        };
+        let waited = Span(picture.now.wall.0.saturating_sub(job.submitted.0)).as_secs();
+        if waited + ready_s * SLOWER + MARGIN_S < BEGIN_S {
+            continue;
+        }
+        for at in spots {
+            picture.spots[at].kept_for = Some((job.spec.id.clone(), ready_s));
+        }
+        picture.gathering.insert(job.spec.id.clone());
+        if picture.gathering.len() >= GANGS {
+            return;
         }
     }
 }
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -116,6 +116,7 @@
         };
         let mut commands = Vec::new();
         let mut started = Vec::new();
+        let leads = self.lease_valid(now);
         for entry in &machine.entries {
             let (task, attempt) = (entry.task.clone(), entry.attempt);
             if entry.may_forget() && !direct {
@@ -132,7 +133,8 @@
                         },
                     );
                 }
-            } else if matches!(entry.phase, Phase::Planned | Phase::Sent)
+            } else if leads
+                && matches!(entry.phase, Phase::Planned | Phase::Sent)
                 && !(direct && entry.phase == Phase::Sent && entry.sent.0 == self.epoch)
                 && self.may_start(machine, entry, now)
             {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -72,6 +72,8 @@
     beats: u64,
     next_books: Time,
     pub(crate) last_report: Option<Time>,
+    /// Since when workers have reached other nodes all the time.
+    reached_others: Option<Time>,
     pub(crate) out: Vec<Output>,
 }
 
@@ -118,6 +120,7 @@
             beats: 0,
             next_books: Time(0),
             last_report: None,
+            reached_others: None,
             out: Vec::new(),
             settings,
         }
@@ -534,7 +537,14 @@
         let reached = self.peers.values().any(|p| {
             now.time < p.heard + Span(1_500) && p.worker_silence < Span(2_000) && p.state_ok
         });
-        if mine && reached && !lead.machines.is_empty() {
+        // The first workers to come up may just have found another node first.
+        if !reached {
+            self.reached_others = None;
+        } else if self.reached_others.is_none() {
+            self.reached_others = Some(now.time);
+        }
+        let long = self.reached_others.is_some_and(silence);
+        if mine && long && !lead.machines.is_empty() {
             self.election.hold_off = now.time + Span(15_000);
             self.step_down("workers do not reach this node");
         }
@@ -568,7 +578,7 @@
             leads: self.lead.is_some(),
             state_ok: self.election.state_ok(now.time),
             asks_word: self.lead.is_some() || self.election.would_care(now.time),
-            machines: (self.lead.as_ref()).map_or(0, |l| l.machines.len() as u32),
+            machines: self.lead.as_ref().map_or(0, Lead::fleet_size),
             workers: self.relay.workers(now.time),
             passes: self.lead.is_some() || self.near_leader(now.time).is_some(),
             counts,
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -15,8 +15,6 @@
 /// its size. Users take a job that does not begin within four minutes for not served; room for a
 /// large one takes a while to come free.
 const PATIENCE: Span = Span(80_000);
-/// How long it takes until the whole of a busy fleet has come free once, about.
-const GATHER_S: f64 = 400.0;
 
 impl Lead {
     /// Takes in a job's record.
@@ -107,6 +105,8 @@
             }
         }
         placements.extend(scenario.placements);
+        let gathering = std::mem::take(&mut picture.gathering);
+        self.gathering = gathering;
         self.apply(placements, now.time);
         for eviction in scenario.evictions {
             let grace = (self.jobs.get(&eviction.task.job)).map_or(0.0, |j| j.spec.save_s);
@@ -141,29 +141,17 @@
             .filter(|j| j.is_active() && j.not_before <= now.time && j.free_tasks() > 0)
             .filter(|j| j.spec.kind != Kind::Gang || j.places.is_empty())
             .collect();
-        jobs.sort_by_cached_key(|j| j.order(now.wall, self.patience(j)));
+        jobs.sort_by_cached_key(|j| j.order(self.is_overdue(j, now.wall)));
         jobs
     }
 
-    /// How long a job may wait for its first start before it goes before others. The more of the
-    /// fleet a gang needs at once, the longer that takes to come free, and the sooner it must begin
-    /// to gather.
-    pub fn patience(&self, job: &Job) -> Span {
-        if job.spec.kind != Kind::Gang || job.spec.tasks < 2 {
-            return PATIENCE;
-        }
-        let fleet: u32 = (self.machines.values())
-            .filter(|m| m.last_heard.is_some())
-            .map(|m| m.room.count(&job.need))
-            .fold(0, u32::saturating_add);
-        let part = f64::from(job.spec.tasks) / f64::from(fleet.max(1));
-        let early = (part * GATHER_S * 1000.0) as u64;
-        Span(PATIENCE.0.saturating_sub(early).max(PATIENCE.0 / 8))
-    }
-
-    /// Whether a job has waited too long for its first start.
+    /// Whether a job has waited too long for its first start: then it goes before others. A gang of
+    /// several tasks does once room is gathered for it, which begins in time to be done in time.
     pub fn is_overdue(&self, job: &Job, now: Wall) -> bool {
-        job.is_overdue(now, self.patience(job))
+        match job.spec.kind {
+            Kind::Gang if job.spec.tasks > 1 => self.gathering.contains(&job.spec.id),
+            _ => job.is_overdue(now, PATIENCE),
+        }
     }
 
     /// Whether a job's start can't wait for its image to be fetched, by what users say.
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -56,7 +56,7 @@
         let mut jobs: Vec<&Job> = (self.jobs.values())
             .filter(|j| j.is_active() && j.free_tasks() > 0 && j.errors < 4)
             .collect();
-        jobs.sort_by_cached_key(|j| j.order(now.wall, self.patience(j)));
+        jobs.sort_by_cached_key(|j| j.order(self.is_overdue(j, now.wall)));
         for job in jobs {
             match job.spec.kind {
                 Kind::Gang if !job.places.is_empty() => {}
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -94,10 +94,9 @@
     /// start, then the one with the least work left. Users count jobs that are done in time, and in
     /// a rush one large job costs many small ones their time, but not the other way round. Without
     /// the second part a large job would never begin while small ones keep coming.
-    pub fn order(&self, now: Wall, patience: Span) -> Order {
+    pub fn order(&self, overdue: bool) -> Order {
         let tasks = f64::from(self.spec.tasks.saturating_sub(self.done.len() as u32));
         let left = (tasks * self.spec.estimate_s.max(0.0) * 1000.0) as u64;
-        let overdue = self.is_overdue(now, patience);
         (
             Reverse(self.spec.priority),
             !overdue,
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -85,6 +85,8 @@
     pub counters: BTreeMap<&'static str, u64>,
     /// How long tasks waited for their first start, by class.
     pub waits: BTreeMap<Class, Latency>,
+    /// Gangs for which room is gathered.
+    pub gathering: BTreeSet<JobId>,
     /// Rental requests.
     pub rentals: Rentals,
     /// When replicas may be moved next.
@@ -172,6 +174,7 @@
             stops: VecDeque::new(),
             counters: BTreeMap::new(),
             waits: BTreeMap::new(),
+            gathering: BTreeSet::new(),
             rentals: Rentals::default(),
             next_move: now + Span(20_000),
             next_cycle: now,
@@ -183,6 +186,16 @@
         }
     }
 
+    /// How many machines there are, for the other nodes: as long as that is not read back, as if
+    /// there were many, so that not all workers come here at once.
+    pub fn fleet_size(&self) -> u32 {
+        if self.ready {
+            self.machines.len() as u32
+        } else {
+            u32::MAX
+        }
+    }
+
     /// Takes up operators' settings.
     pub fn take_up(&mut self, tree: TeamTree, settings: &AdminSettings) {
         self.tree = tree;
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -60,6 +60,8 @@
     zones: HashMap<JobId, Vec<u32>>,
     /// Zones by number.
     pub zone_names: Vec<Zone>,
+    /// Gangs for which room is gathered.
+    pub gathering: BTreeSet<JobId>,
     /// When it was taken.
     pub now: Now,
     images: HashMap<Image, u32>,
@@ -99,6 +101,7 @@
             share: vec![[0.0; KINDS]; nodes],
             zones: HashMap::new(),
             zone_names: Vec::new(),
+            gathering: BTreeSet::new(),
             now,
             images: HashMap::new(),
             evicted: BTreeSet::new(),
@@ -370,6 +373,14 @@
         }
     }
 
+    /// How many images it fetches.
+    pub fn fetches(&self) -> u32 {
+        let new = |(i, no): &(usize, &u32)| {
+            !self.images.contains(no) && !self.fetching[..*i].contains(no)
+        };
+        self.fetching.iter().enumerate().filter(new).count() as u32
+    }
+
     /// Replicas of a service on it.
     pub fn replicas_of(&self, job: &JobId) -> u32 {
         let found = self.services.iter().find(|(id, _)| id == job);
