Cloud calls: what can't wait first, few large rentals, idle returns together

Now five requests are open at most, the rest is counted again with more; idle machines go back together every 2 s; bursts of two seconds are used; the list is read as often as it can be new.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -44,6 +44,8 @@
     pub next_list: Time,
     /// When the catalog is due.
     pub next_catalog: Time,
+    /// When idle machines may be returned: many at once, for calls are few.
+    next_return: Time,
 }
 
 /// What a call to the cloud is for.
@@ -72,6 +74,8 @@
 const DEAF: u32 = 3;
 /// If nobody has answered a direct call for so long, it is not known whether any would.
 const CONTROL: Span = Span(2_000);
+/// Idle machines are returned together, so often.
+const RETURNS: Span = Span(2_000);
 /// Why idle machines are returned.
 const IDLE: &str = "idle";
 
@@ -107,13 +111,14 @@
         Self {
             next: 0,
             rate,
-            tokens: rate,
+            tokens: rate.max(1.0),
             filled: Time(0),
             queue: VecDeque::new(),
             open: HashMap::new(),
             after: Time(0),
             next_list: Time(0),
             next_catalog: Time(0),
+            next_return: Time(0),
         }
     }
 
@@ -134,8 +139,9 @@
     }
 
     fn pump(&mut self, now: Time, out: &mut Vec<Output>) {
+        // Bursts worth two seconds are allowed; one call is left for what the cloud counts otherwise.
         self.tokens += (now - self.filled).as_secs() * self.rate;
-        self.tokens = self.tokens.min(self.rate);
+        self.tokens = self.tokens.min((self.rate * 2.0 - 1.0).max(1.0));
         self.filled = now;
         while self.tokens >= 1.0 && now >= self.after && self.open.len() < 3 {
             let Some((call, step)) = self.queue.pop_front() else {
@@ -214,14 +220,21 @@
             let urgent = machine.retire.is_some_and(|why| why != IDLE);
             let due = machine.retire.is_some() && (urgent || machine.entries.is_empty());
             if due && !asked && names.len() < 100 {
-                machine.returning = Some(now.time);
-                log::info!("returning {}: {}", machine.id, machine.retire.unwrap_or(""));
                 names.push(machine.id.clone());
             }
         }
         names
     }
 
+    fn note_returning(&mut self, names: &[MachineId], now: Now) {
+        for id in names {
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.returning = Some(now.time);
+                log::info!("returning {id}: {}", machine.retire.unwrap_or(""));
+            }
+        }
+    }
+
     fn note_return(&mut self, id: &MachineId) {
         if let Some(machine) = self.machines.get(id) {
             self.rentals.came_free(&Offer {
@@ -364,7 +377,14 @@
             return cloud.pump(now.time, &mut self.out);
         }
         let names = lead.due_returns(now);
-        if !names.is_empty() {
+        let urgent = (names.iter()).any(|id| {
+            lead.machines
+                .get(id)
+                .is_some_and(|m| m.retire != Some(IDLE))
+        });
+        if urgent || (!names.is_empty() && now.time >= cloud.next_return) {
+            cloud.next_return = now.time + RETURNS;
+            lead.note_returning(&names, now);
             let call = CloudCall::Return(MachineNames {
                 machines: names.clone(),
             });
@@ -378,7 +398,7 @@
         }
         let list_due = now.time >= cloud.next_list;
         if list_due && !cloud.has(|s| matches!(s, CloudStep::List)) {
-            cloud.next_list = now.time + Span(4_000);
+            cloud.next_list = now.time + Span(4_000).max(self.list_lag);
             cloud.call(CloudCall::List(None), CloudStep::List);
         }
         cloud.pump(now.time, &mut self.out);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -57,6 +57,8 @@
     pub(crate) directory: Directory,
     pub(crate) calls: StateCalls<Purpose>,
     pub(crate) cloud: CloudCalls,
+    /// How late the cloud's list is.
+    pub(crate) list_lag: Span,
     pub(crate) election: Election,
     pub(crate) reads: Reads,
     pub(crate) lead: Option<Lead>,
@@ -105,7 +107,8 @@
             catalog: None,
             directory: Directory::default(),
             calls: StateCalls::new(settings.params.state.rps * 0.8 / nodes as f64),
-            cloud: CloudCalls::new(settings.params.cloud.rps * 0.8),
+            list_lag: Span::secs(settings.params.cloud.list_lag_s),
+            cloud: CloudCalls::new(settings.params.cloud.rps * 0.9),
             election: Election::new(settings.node.clone(), nodes, rank),
             reads: Reads::default(),
             lead: None,
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -16,7 +16,7 @@
 /// Most machines of one request.
 const MOST: u32 = 50;
 /// Requests that may be open at once.
-const REQUESTS: usize = 12;
+const REQUESTS: usize = 5;
 /// What is left of the time that users give a job, after a boot, is used up to this part: estimates
 /// are often wrong by half.
 const USE: f64 = 0.6;
@@ -32,7 +32,8 @@
 /// What is planned in a cycle.
 struct Plan {
     bins: Vec<Bin>,
-    wanted: BTreeMap<Offer, u32>,
+    /// By offer: whether work that can't wait wants any, and how many.
+    wanted: BTreeMap<Offer, (bool, u32)>,
     used: Vec<Amounts>,
     firm: Vec<Amounts>,
     /// Free machines that gangs which wait for more may count on.
@@ -68,8 +69,13 @@
         (0..plan.spare.len()).filter(|&i| !plan.spare[i]).collect()
     }
 
-    fn ask(&mut self, wanted: BTreeMap<Offer, u32>) {
-        for (offer, mut count) in wanted {
+    /// Asks for machines. Calls to the cloud are few, so only some requests are open at a time: what
+    /// can't wait first, then the largest. What is not asked for now is counted again in the next
+    /// cycle, with more.
+    fn ask(&mut self, wanted: BTreeMap<Offer, (bool, u32)>) {
+        let mut wanted: Vec<(Offer, (bool, u32))> = wanted.into_iter().collect();
+        wanted.sort_by_key(|(_, (firm, count))| (!firm, std::cmp::Reverse(*count)));
+        for (offer, (_, mut count)) in wanted {
             while count > 0 && self.rentals.open.len() < REQUESTS {
                 let part = count.min(MOST);
                 count -= part;
@@ -205,7 +211,9 @@
             return left;
         }
         let machines = tasks.div_ceil(each);
-        *plan.wanted.entry(offer.clone()).or_default() += machines;
+        let (firm, count) = plan.wanted.entry(offer.clone()).or_default();
+        *firm |= !job.evictable();
+        *count += machines;
         plan.bins.push(self.bin(offer, machines));
         self.fill_bins(job, tasks, &mut plan.bins, zones, None)
             .max(1)
