--- a/crates/core/src/actions/allocate.rs
+++ b/crates/core/src/actions/allocate.rs
@@ -186,7 +186,7 @@
 }
 
 /// A gang that must be in one zone is tried in each, the one where most of its machines have the
-/// image first.
+/// image, and suit it, first.
 fn place_gang(lead: &Lead, picture: &mut Snapshot, job: &Job) -> Vec<Placement> {
     let want = job.spec.tasks;
     let zones: Vec<Option<usize>> = if job.spec.one_zone {
--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -116,13 +116,22 @@
     a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
 }
 
-/// Lower is better: few replicas of the same service, image at hand, the kind of machine that
-/// leaves others free, then the fullest machine, so that machines empty out.
+/// From so many tasks on a gang is large: one spot machine that is taken stops them all.
+const LARGE: u32 = 4;
+
+/// Whether a job is better off on ordinary machines even if it may use spot ones. With one spot
+/// machine in ten taken in the time that a gang runs, hardly one of many tasks would end undisturbed.
+pub fn shuns_spot(job: &Job) -> bool {
+    job.spec.kind == Kind::Gang && job.spec.tasks >= LARGE
+}
+
+/// Lower is better: few replicas of the same service, or ordinary machines for a large gang; image
+/// at hand; the kind of machine that leaves others free; then the fullest machine, so that machines
+/// empty out.
 fn score(job: &Job, image: Option<u32>, cap: u32, spot: &Spot) -> Score {
-    let replicas = if job.spec.kind == Kind::Service {
-        spot.replicas_of(&job.spec.id) + spot.replicas / cap
-    } else {
-        0
+    let apart = match job.spec.kind {
+        Kind::Service => spot.replicas_of(&job.spec.id) + spot.replicas / cap,
+        _ => u32::from(spot.spot && shuns_spot(job)),
     };
     let fetch = if has(&spot.images, image) {
         0
@@ -134,5 +143,5 @@
     };
     let kind = u32::from(job.spec.spot != spot.spot);
     let left = (spot.free - job.need).cpus as f64 / spot.room.cpus.max(1) as f64;
-    (replicas, fetch, kind, left)
+    (apart, fetch, kind, left)
 }
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -115,6 +115,9 @@
                 self.answer(req, 200, body.to_string());
             }
             request => match &self.lead {
+                Some(lead) if !self.leads_surely(lead, now) => {
+                    self.refuse(req, "leading is in doubt");
+                }
                 Some(lead) => {
                     let (status, body) = match request {
                         AdminRequest::Teams => (200, teams(lead, now)),
@@ -130,6 +133,11 @@
         }
     }
 
+    fn leads_surely(&self, lead: &Lead, now: Now) -> bool {
+        let state_ok = self.election.state_ok(now.time);
+        lead.may_answer(now.time, state_ok, self.election.majority())
+    }
+
     fn ask_leader(&mut self, req: ReqId, request: &AdminRequest, local: bool, now: Now) {
         let leader = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
         match leader {
--- /dev/null
+++ b/crates/core/tests/sim/added.rs
@@ -0,0 +1,221 @@
+//! The rules and troubles that users added: each trouble alone, and what each must not lead to. They
+//! are mixed with all others in the days of `main`.
+
+use super::world::{Plan, World};
+use super::{day, unfinished};
+use rudderreel_core::{Core, Input, Output, StateAnswer, StateCall};
+use rudderreel_wire::ids::{Epoch, JobId, MachineId, Seq, Session, Version};
+use rudderreel_wire::job::Kind;
+use rudderreel_wire::state::Page;
+use rudderreel_wire::worker::{Report, TaskReport, TaskState};
+
+fn alone(only: u32, nodes: usize, seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        let plan = Plan {
+            nodes,
+            only: Some(only),
+            jobs: 30,
+            ..Plan::default()
+        };
+        day(seed, plan);
+    }
+}
+
+/// Processes that are back within a fraction of a second, one or all, also in the middle of an
+/// election, of raising the epoch or of recording starts.
+#[test]
+fn quick_returns() {
+    alone(9, 3, 500..502);
+    alone(10, 5, 502..504);
+}
+
+/// A node without state service and peers, but with its workers.
+#[test]
+fn nodes_that_hear_only_workers() {
+    alone(11, 3, 510..512);
+    alone(11, 5, 512..514);
+}
+
+#[test]
+fn machines_that_hear_nobody() {
+    alone(12, 3, 520..522);
+    alone(12, 5, 522..524);
+}
+
+/// A leader that hears only workers stops giving 200 within its bound, and sends them away so that
+/// they find the one that follows it; a follower like it never gives any.
+#[test]
+fn a_cut_leader_stops_and_another_follows() {
+    let mut world = World::of(530, Plan::default());
+    world.run_until(60_000);
+    let old = world.leader().expect("a leader");
+    let until = world.now + 40_000;
+    world.cut_but_for_workers(old, until);
+    // Its lease of 3 s, the election, and a little.
+    world.run_until(world.now + 8_000);
+    let id = world.workers.keys().next().cloned().expect("a machine");
+    let asked = world.inject(old, report(&id, 1, 1));
+    assert_ne!(asked, 200, "the cut node answers workers");
+    let (status, _) = world.admin(old, rudderreel_core::AdminRequest::Teams);
+    assert_eq!(status, 503, "it takes itself for the leader");
+    let new = world.leader().expect("another leader");
+    assert_ne!(new, old);
+    world.run_until(240_000);
+    assert_eq!(unfinished(&world), Vec::<String>::new());
+}
+
+/// A machine whose reports arrive but that nothing reaches is told apart and returned, and what ran
+/// there runs elsewhere; with the cloud away, what ran there does so once its next session shows
+/// that it is gone, and nothing new goes there meanwhile.
+#[test]
+fn a_machine_that_hears_nobody_is_given_up() {
+    for cloud_down in [false, true] {
+        let mut world = World::of(540, Plan::default());
+        while world.busy_machine().is_none() {
+            world.run_until(world.now + 500);
+        }
+        let id = world.busy_machine().expect("a machine with tasks");
+        world.cloud.down = cloud_down;
+        let worker = world.workers.get_mut(&id).expect("its worker");
+        worker.deaf_until = u64::MAX;
+        let starts = worker.starts;
+        world.run_until(world.now + 30_000);
+        match world.workers.get(&id) {
+            None => assert!(!cloud_down),
+            Some(worker) => {
+                assert!(cloud_down, "it was not returned");
+                assert_eq!(worker.starts, starts, "something was started there");
+            }
+        }
+        world.cloud.down = false;
+        world.run_until(300_000);
+        assert_eq!(unfinished(&world), Vec::<String>::new());
+    }
+}
+
+fn report(machine: &MachineId, session: u64, seq: u64) -> Report {
+    Report {
+        machine: machine.clone(),
+        addr: "10.2.0.1:1".into(),
+        machine_type: "m4".into(),
+        zone: "a".into(),
+        spot: false,
+        session: Session(session),
+        seq: Seq(seq),
+        token: Epoch(1),
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// Reports that can't be right are answered at once, and change nothing: from machines nobody rented,
+/// older than what is known, of a type and zone that don't exist, with a token nobody gave out, with
+/// tasks nobody submitted.
+#[test]
+fn bad_reports_are_survived() {
+    let mut world = World::of(550, Plan::default());
+    world.run_until(40_000);
+    let known = world.workers.keys().next().cloned().expect("a machine");
+    let nobody = MachineId::from("vm-999999");
+    let stranger: JobId = "wk-424242".parse().expect("an id");
+    let mut odd = report(&nobody, 3, 1);
+    odd.machine_type = "m-none".into();
+    odd.zone = "nowhere".into();
+    let mut high = report(&known, 900, 1);
+    high.token = Epoch(1 << 60);
+    let mut foreign = report(&MachineId::from("vm-999998"), 1, 1);
+    foreign.tasks = vec![TaskReport {
+        task: stranger.task(7),
+        attempt: rudderreel_wire::ids::Attempt(9),
+        state: TaskState::Running,
+        why: None,
+        saved: None,
+    }];
+    for bad in [
+        report(&nobody, 1, 1),
+        report(&known, 0, 0),
+        odd,
+        high,
+        foreign,
+    ] {
+        for node in 0..3 {
+            let status = world.inject(node, bad.clone());
+            assert!([200, 421, 503].contains(&status), "{status}");
+        }
+    }
+    world.run_until(300_000);
+    assert_eq!(unfinished(&world), Vec::<String>::new());
+}
+
+fn page() -> StateAnswer {
+    StateAnswer::Page(Page {
+        items: Vec::new(),
+        more: false,
+        revision: Version(7),
+    })
+}
+
+/// After its watch has lost its place in an outage, a node reads everything again as soon as that
+/// works, and watches on. It used to try once, and then missed every later change.
+#[test]
+fn a_lost_watch_is_taken_up_again() {
+    let mut world = World::of(560, Plan::default());
+    let mut core = Core::new(world.settings_of(0));
+    let answer = |core: &mut Core, world: &mut World, first: Input, good: bool| -> bool {
+        let mut next = Some(first);
+        for _ in 0..200 {
+            world.now += 20;
+            let input = next.take().unwrap_or(Input::Tick);
+            let mut outputs = core.step(input, world.clock_of(0));
+            while let Some(output) = outputs.pop() {
+                match output {
+                    Output::Watch(_) => return true,
+                    Output::State(id, call) => {
+                        let list = matches!(call, StateCall::List(..));
+                        let got = if good && list {
+                            page()
+                        } else {
+                            StateAnswer::Refused
+                        };
+                        let at = world.clock_of(0);
+                        outputs.extend(core.step(Input::State(id, at.time, got), at));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        false
+    };
+    let ok = answer(&mut core, &mut world, Input::Tick, true);
+    assert!(ok, "it watches");
+    let away = !answer(&mut core, &mut world, Input::WatchLost, false);
+    assert!(away, "the service is away");
+    let ok = answer(&mut core, &mut world, Input::Tick, true);
+    assert!(ok, "it watches again");
+}
+
+/// More is asked than there is room for, small work comes all the time, and most of it from one
+/// team: the large array and the large gang begin all the same, and so does the other team's work,
+/// also when leaders end meanwhile: the wait counts from submission.
+#[test]
+fn nobody_starves_in_a_crowd() {
+    for (seed, take_overs) in [(300, false), (301, false), (302, true)] {
+        let plan = Plan {
+            jobs: 1_000,
+            crowd: true,
+            pace: 64,
+            ..Plan::default()
+        };
+        let mut world = World::of(seed, plan);
+        for at in (30..420).step_by(30) {
+            world.run_until(at * 1_000);
+            if take_overs {
+                if let Some(leader) = world.leader() {
+                    world.blink(leader);
+                }
+            }
+        }
+        assert!(world.jobs.values().any(|t| t.spec.kind == Kind::Gang));
+        world.check_served();
+    }
+}
--- a/crates/core/tests/sim/stores.rs
+++ b/crates/core/tests/sim/stores.rs
@@ -221,6 +221,8 @@
     up: BTreeSet<MachineId>,
     next: u32,
     most: usize,
+    /// Its interface is down.
+    pub down: bool,
 }
 
 const BOOT_MS: u64 = 4_000;
@@ -249,6 +251,9 @@
     }
 
     pub fn call(&mut self, call: &CloudCall, now: u64) -> CloudAnswer {
+        if self.down {
+            return CloudAnswer::Refused;
+        }
         match call {
             CloudCall::Catalog => CloudAnswer::Catalog(Catalog {
                 types: vec![MachineType {
