--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -328,13 +328,15 @@
         }
         let mut progress = tidy;
         while let Some(lead) = self.lead.as_mut() {
-            if lead.books.open.len() >= OPEN || !lead.books.take(1.0, rate, now.time) {
+            let nothing = !lead.unrecorded && !progress;
+            if nothing || lead.books.open.len() >= OPEN || !lead.books.take(1.0, rate, now.time) {
                 break;
             }
             let page = lead.next_page();
             let draft = lead.draft(page, progress);
             progress = false;
             if draft.is_empty() {
+                lead.unrecorded = false;
                 lead.books.budget.0 += 1.0;
                 break;
             }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -67,7 +67,6 @@
     pub(crate) leader_machines: u32,
     pub(crate) peers: BTreeMap<NodeName, PeerView>,
     counts: BTreeMap<JobId, (u32, u32)>,
-    started: Option<Time>,
     filling: bool,
     next_fill: Time,
     next_beat: Time,
@@ -116,7 +115,6 @@
             leader_machines: 0,
             peers,
             counts: BTreeMap::new(),
-            started: None,
             filling: false,
             next_fill: Time(0),
             next_beat: Time(0),
@@ -131,11 +129,6 @@
 
     /// Takes one input; returns what to send, write and answer.
     pub fn step(&mut self, input: Input, now: Now) -> Vec<Output> {
-        if self.started.is_none() {
-            self.started = Some(now.time);
-            // It may have forgotten a word that it gave in an earlier life.
-            self.election.hold_off = now.time + WORD.with_drift();
-        }
         match input {
             Input::Tick => self.tick(now),
             Input::User(req, request) => self.user(req, request, false, now),
@@ -332,7 +325,7 @@
             if self.election.cares(now.time) && report.token <= self.election.epoch {
                 let reply = ReportReply {
                     token: self.election.epoch,
-                    commands: Vec::new(),
+                    commands: self.directory.stops_of_cancelled(&report),
                 };
                 return self.answer(req, 200, json(&reply));
             }
@@ -341,7 +334,7 @@
         if !lead.may_answer(now.time, state_ok, majority) {
             return self.refuse(req, "leading is in doubt");
         }
-        match lead.answer_report(&report, now) {
+        match lead.answer_report(&report, &self.directory, now) {
             Some(commands) => {
                 let token = lead.epoch;
                 if commands.is_empty() {
@@ -494,6 +487,7 @@
                 lead.cycle(now);
             }
             self.flush(now);
+            self.rule_out_late_starts(now);
             self.push_waiting(now);
             self.cloud_tick(now);
         } else {
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -215,6 +215,7 @@
 
     pub(crate) fn apply(&mut self, placements: Vec<Placement>, now: Time) {
         let mut attempts: BTreeMap<JobId, Attempt> = BTreeMap::new();
+        self.unrecorded |= !placements.is_empty();
         for placement in placements {
             let id = placement.task.job.clone();
             let Some(spec) = self.jobs.get(&id).map(|j| j.spec.clone()) else {
@@ -324,6 +325,7 @@
 
     /// A machine that has become known in some other way than by a report.
     pub fn expect_machine(&mut self, machine: Machine) {
+        self.unrecorded = true;
         if !self.returned.contains_key(&machine.id) {
             self.machines.entry(machine.id.clone()).or_insert(machine);
         }
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -8,7 +8,9 @@
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::job::JobState;
 use rudderreel_wire::state::Event;
+use rudderreel_wire::worker::{Command, Report, TaskState};
 use std::collections::BTreeMap;
 
 /// A cached job.
@@ -51,6 +53,24 @@
         self.jobs.insert(id, KnownJob { version, record });
     }
 
+    /// Stops for what a report lists of cancelled jobs. They hold whoever gives them, since a job that
+    /// is cancelled remains so: a node that answers workers in an outage, or that has not read back
+    /// what runs where, gives no other commands, and would keep those tasks alive for too long.
+    pub fn stops_of_cancelled(&self, report: &Report) -> Vec<Command> {
+        let cancelled = |id: &JobId| {
+            let known = self.jobs.get(id);
+            known.is_some_and(|k| k.record.state == JobState::Cancelled)
+        };
+        (report.tasks.iter())
+            .filter(|t| t.state != TaskState::Exited && cancelled(&t.task.job))
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect()
+    }
+
     /// Takes in the leader's key as read at a revision.
     pub fn learn_leader(&mut self, revision: Version, record: Option<(Version, LeaderRecord)>) {
         if revision >= self.leader_seen {
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -21,7 +21,10 @@
 //!
 //! A new leader therefore knows that no older one answers workers any more once a majority has
 //! acknowledged its epoch and [`WORD`] has passed since: any two majorities share a node, and that
-//! node gave its last word before it acknowledged. That moment is the *fence*.
+//! node gave its last word before it acknowledged. That moment is the *fence*. It holds for words
+//! that a node gave in an earlier life and has forgotten, too: it acknowledges in a later one. So a
+//! node that has just started need not wait before it campaigns, and after a crash of all nodes
+//! workers are answered again that much sooner.
 
 use crate::io::{StateAnswer, StateCall, Value};
 use crate::records::{EpochRecord, LeaderRecord, EPOCH, LEADER};
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -3,9 +3,11 @@
 use crate::admin::{Latency, StopNote};
 use crate::books::{page_bytes, Books};
 use crate::capacity::Rentals;
+use crate::directory::Directory;
 use crate::election::{LEASE, WORD};
 use crate::job::{is_firm, Job};
 use crate::possession::{Change, Entry, Machine, Phase, Stop};
+use crate::records::PageId;
 use crate::tree::TeamTree;
 use crate::units::{Now, Resources, Span, Time, Wall};
 use rudderreel_wire::admin::AdminSettings;
@@ -73,6 +75,8 @@
     pub page_ops: usize,
     /// What is recorded.
     pub books: Books,
+    /// Whether something may wait to be recorded, so that the books are looked through only then.
+    pub unrecorded: bool,
     /// Seconds between cycles when nothing calls for one sooner.
     pub period: Span,
     /// How long an idle machine is kept.
@@ -168,6 +172,7 @@
             page_bytes: page_bytes(settings.params.state.value_kb),
             page_ops: settings.params.state.txn_ops.max(2),
             books: Books::default(),
+            unrecorded: true,
             period: PERIOD,
             keep_idle: Span(20_000),
             reserve_factor: 1.0,
@@ -298,7 +303,12 @@
 
     /// Takes a worker's report in and decides its answer: commands, or none if it must not be
     /// answered.
-    pub fn answer_report(&mut self, report: &Report, now: Now) -> Option<Vec<Command>> {
+    pub fn answer_report(
+        &mut self,
+        report: &Report,
+        directory: &Directory,
+        now: Now,
+    ) -> Option<Vec<Command>> {
         if report.token > self.epoch || self.returned.contains_key(&report.machine) {
             // A higher token: another node leads. A machine that was returned is gone, so this is
             // a late copy; to answer it would help nobody.
@@ -308,7 +318,7 @@
         let newest = (report.session, report.seq);
         let machine = match self.machines.get_mut(&report.machine) {
             Some(machine) if self.ready => machine,
-            _ => return Some(Vec::new()),
+            _ => return Some(directory.stops_of_cancelled(report)),
         };
         machine.last_answer = Some(now.time);
         if machine.newest != newest {
@@ -367,6 +377,7 @@
         if newest && !same {
             machine.list = (machine.newest, report.tasks.as_slice().into());
         }
+        self.unrecorded |= machine.page == PageId::NONE;
         let became_known = !was_known && machine.is_known(epoch);
         let release = report.token;
         for entry in machine.entries.iter_mut().filter(|e| e.unsure) {
@@ -575,6 +586,7 @@
             }
         }
         let exited = entry.phase;
+        self.unrecorded = true;
         if let Some(m) = self.machines.get_mut(machine) {
             m.entries.push(entry);
         }
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -473,6 +473,38 @@
         assert_eq!(m.entries[0].phase, Phase::On(TaskState::Running));
     }
 
+    /// A late copy of a report does not make a machine heard, does not take a spot notice back, and
+    /// says nothing of what its worker has acknowledged or whether it reacts.
+    #[test]
+    fn a_late_copy_changes_nothing() {
+        let mut m = machine();
+        let mut newest = report(2, 9, 5, vec![]);
+        newest.notice_s = Some(10.0);
+        m.absorb(&newest, EPOCH, NOW);
+        m.did_not_react(NOW);
+        let later = NOW + Span(30_000);
+        for copy in [report(2, 8, 4, vec![]), report(1, 90, 6, vec![]), newest] {
+            assert_eq!(m.absorb(&copy, EPOCH, later), vec![]);
+            assert_eq!(m.last_heard, Some(NOW));
+            assert_eq!(m.notice, Some(NOW + Span(10_000)));
+            assert_eq!((m.acked, m.unanswered), (EPOCH, 1));
+        }
+    }
+
+    /// Its lease ran out although it was answered: it may be that nothing reaches it, and so it is in
+    /// doubt until it has shown that something does.
+    #[test]
+    fn a_new_session_in_spite_of_answers_puts_a_machine_in_doubt() {
+        let mut m = machine();
+        m.absorb(&report(1, 1, 5, vec![]), EPOCH, NOW);
+        m.last_answer = Some(NOW);
+        assert_eq!(m.unanswered, 0);
+        m.absorb(&report(2, 1, 5, vec![]), EPOCH, NOW + Span(13_000));
+        assert_eq!(m.unanswered, 1);
+        m.reacted();
+        assert_eq!((m.unanswered, m.deaf_since), (0, None));
+    }
+
     /// After `reap` a worker no longer knows the attempt: a start that arrives late would run it
     /// again, so nothing is forgotten while one may be under way.
     #[test]
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -144,7 +144,15 @@
         }
         self.flush_books(now);
         self.flush_completions();
-        if self.lead.as_ref().is_some_and(|l| l.wants_fence(now.time)) {
+    }
+
+    /// Raises the epoch if only that shows that a start will not arrive any more.
+    pub(crate) fn rule_out_late_starts(&mut self, now: Now) {
+        let wanted = self.lead.as_ref().is_some_and(|lead| {
+            let may = lead.ready && lead.lease_valid(now.time) && !lead.raised.1;
+            may && lead.wants_fence(now.time)
+        });
+        if wanted {
             self.raise_epoch(now);
         }
     }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -9,6 +9,7 @@
 //! If the leader says nothing, workers get 503 at once and try another node.
 
 use crate::core::Core;
+use crate::directory::Directory;
 use crate::io::{json, CallId, Output, ReqId};
 use crate::lead::Lead;
 use crate::units::{Now, Span, Time};
@@ -260,7 +261,7 @@
         }
         self.last_report = Some(now.time);
         let answers = (passed.reports.into_iter())
-            .map(|report| lead.take_passed(report, now))
+            .map(|report| lead.take_passed(report, &self.directory, now))
             .collect();
         let reply = ReportsReply {
             token: Some(lead.epoch),
@@ -271,7 +272,12 @@
 }
 
 impl Lead {
-    fn take_passed(&mut self, passed: PassedReport, now: Now) -> PassedAnswer {
+    fn take_passed(
+        &mut self,
+        passed: PassedReport,
+        directory: &Directory,
+        now: Now,
+    ) -> PassedAnswer {
         let id = MachineId::from(passed.machine.as_str());
         let whole = matches!(passed.tasks, PassedTasks::Whole(_));
         let report = match passed.tasks {
@@ -289,7 +295,7 @@
                 None => return PassedAnswer::Whole,
             },
         };
-        let answer = self.answer_report(&report, now);
+        let answer = self.answer_report(&report, directory, now);
         if let Some(machine) = self.machines.get_mut(&id).filter(|_| whole) {
             // What the peer may refer to from now on.
             if machine.newest == (report.session, report.seq) {
