Rentals in batches; part of each booting machine is not counted on for what can't wait

Now a batch is asked for when the one before is answered, a quarter of a booting machine is not counted on for work that can't wait, and one that is late by a third is not counted on at all.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -5,11 +5,12 @@
 use crate::capacity::Offer;
 use crate::job::Job;
 use crate::lead::Lead;
+use crate::possession::Machine;
 use crate::snapshot::{is_bound, within, Snapshot};
 use crate::tree::{amounts, Amounts};
 use crate::units::{Now, Resources, Span, Time};
 use rudderreel_wire::cloud::{MachineType, Rent};
-use rudderreel_wire::ids::Zone;
+use rudderreel_wire::ids::{TypeName, Zone};
 use rudderreel_wire::job::Kind;
 use std::collections::BTreeMap;
 
@@ -17,18 +18,39 @@
 const MOST: u32 = 50;
 /// Requests that may be open at once.
 const REQUESTS: usize = 5;
+/// No new ones are made while more than so many are open.
+const UNDER_WAY: usize = 1;
 /// What is left of the time that users give a job, after a boot, is used up to this part: estimates
 /// are often wrong by half.
 const USE: f64 = 0.6;
 
+/// A machine that boots for so many times the usual is not counted on any more.
+const LATE: f64 = 1.3;
+
 /// Machines that are alike and coming: they boot, or are to be rented.
 struct Bin {
     offer: Offer,
     gpus: bool,
     free: Resources,
+    /// What is left for work that can't wait: some machines come up late or never, so part of each
+    /// is not counted on.
+    sure: Resources,
     machines: u32,
 }
 
+impl Bin {
+    /// How many tasks of a job one of the machines takes.
+    fn each(&self, job: &Job) -> u32 {
+        let each = self.free.count(&job.need);
+        if job.evictable() {
+            return each;
+        }
+        // A task that takes most of a machine has it all the same.
+        let whole = u32::from(each > 0 && self.sure.cpus == self.free.cpus * 3 / 4);
+        each.min(self.sure.count(&job.need).max(whole))
+    }
+}
+
 /// What is planned in a cycle.
 struct Plan {
     bins: Vec<Bin>,
@@ -48,7 +70,7 @@
     /// gangs which wait for more count on, by their place in the picture.
     pub fn plan_capacity(&mut self, picture: &Snapshot, now: Now) -> Vec<usize> {
         let mut plan = Plan {
-            bins: self.coming(),
+            bins: self.coming(now),
             wanted: BTreeMap::new(),
             used: picture.used.clone(),
             firm: picture.firm.clone(),
@@ -73,6 +95,11 @@
     /// can't wait first, then the largest. What is not asked for now is counted again in the next
     /// cycle, with more.
     fn ask(&mut self, wanted: BTreeMap<Offer, (bool, u32)>) {
+        // While some are under way, what comes meanwhile adds up: one by one, small requests for each
+        // job that arrives would hold up the large ones.
+        if self.rentals.open.len() > UNDER_WAY {
+            return;
+        }
         let mut wanted: Vec<(Offer, (bool, u32))> = wanted.into_iter().collect();
         wanted.sort_by_key(|(_, (firm, count))| (!firm, std::cmp::Reverse(*count)));
         for (offer, (_, mut count)) in wanted {
@@ -92,10 +119,17 @@
         }
     }
 
-    fn coming(&self) -> Vec<Bin> {
+    fn coming(&self, now: Now) -> Vec<Bin> {
         let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
-        let booting = |m: &&crate::possession::Machine| {
-            m.last_heard.is_none() && m.retire.is_none() && m.returning.is_none()
+        let wall = now.wall;
+        let late: BTreeMap<&TypeName, Span> = (self.catalog.types.iter())
+            .map(|t| (&t.name, Span::secs(t.boot_s * LATE)))
+            .collect();
+        let booting = |m: &&Machine| {
+            let on_time = late
+                .get(&m.machine_type)
+                .is_none_or(|t| Lead::age(m, wall) < *t);
+            m.last_heard.is_none() && m.retire.is_none() && m.returning.is_none() && on_time
         };
         for machine in self.machines.values().filter(booting) {
             let offer = Offer {
@@ -122,6 +156,11 @@
         let free = self.room_of(&offer.machine_type);
         Bin {
             gpus: free.gpus > 0,
+            sure: Resources {
+                cpus: free.cpus * 3 / 4,
+                gpus: free.gpus,
+                memory: free.memory,
+            },
             free,
             offer,
             machines,
@@ -206,7 +245,7 @@
     ) -> u32 {
         let here = zones.get(&offer.zone).copied().unwrap_or(0);
         let tasks = left.min(job.spec.zone_cap().saturating_sub(here));
-        let each = self.room_of(&offer.machine_type).count(&job.need);
+        let each = self.bin(offer.clone(), 1).each(job);
         if tasks == 0 || each == 0 {
             return left;
         }
@@ -236,7 +275,7 @@
             let wasted = plain && (bin.free.gpus > 0 || job.spec.kind == Kind::Service && bin.gpus);
             let here = zones.get(&o.zone).copied().unwrap_or(0);
             let room = left.min(job.spec.zone_cap().saturating_sub(here));
-            let each = bin.free.count(&job.need);
+            let each = bin.each(job);
             if room == 0
                 || each == 0
                 || bin.machines == 0
@@ -260,6 +299,7 @@
                         offer: bin.offer.clone(),
                         gpus: bin.gpus,
                         free: bin.free - job.need.times(tasks),
+                        sure: bin.sure - job.need.times(tasks),
                         machines,
                     });
                 }
@@ -389,7 +429,7 @@
     (bins.iter())
         .filter(|b| b.offer.zone == *zone)
         .filter(|b| allowed(&job.spec, &b.offer.machine_type, zone, b.offer.spot))
-        .map(|b| b.free.count(&job.need).saturating_mul(b.machines))
+        .map(|b| b.each(job).saturating_mul(b.machines))
         .fold(0, u32::saturating_add)
 }
 
