What can't be evicted is placed before the rest, also where its image is not at hand

Now the order is firm work where its image is, reclaim, preempt, firm work anywhere, the rest (once).

--- a/crates/core/src/actions/allocate.rs
+++ b/crates/core/src/actions/allocate.rs
@@ -73,19 +73,23 @@
     queues
 }
 
-/// Decides placements. With `picky`, work whose start can't wait for a fetch is left alone where
-/// its image is not at hand: room may yet be made for it where it is.
-pub fn allocate(
+/// Places work that can't be evicted. With `picky`, what can't wait for a fetch is left alone where its
+/// image is not at hand: room may yet be made for it where it is.
+pub fn allocate_firm(
     lead: &Lead,
     picture: &mut Snapshot,
     waiting: &[&Job],
     picky: bool,
 ) -> Vec<Placement> {
-    let mut placed = allocate_tier(lead, picture, waiting, true, picky);
+    allocate_tier(lead, picture, waiting, true, picky)
+}
+
+/// Places what can be evicted, after all that can't: also after what went without its image, or on
+/// machines that have just come up it would find no room left.
+pub fn allocate_rest(lead: &Lead, picture: &mut Snapshot, waiting: &[&Job]) -> Vec<Placement> {
     picture.hold_reserve(lead);
     gather::keep_room(lead, picture, waiting);
-    placed.extend(allocate_tier(lead, picture, waiting, false, picky));
-    placed
+    allocate_tier(lead, picture, waiting, false, false)
 }
 
 fn allocate_tier(
--- a/crates/core/src/actions/mod.rs
+++ b/crates/core/src/actions/mod.rs
@@ -1,5 +1,5 @@
-//! What a cycle does, in order: allocate free room, reclaim lent room, preempt within a team,
-//! consolidate.
+//! What a cycle does, in order: allocate free room to what can't be evicted, reclaim lent room, preempt
+//! within a team, allocate the rest, consolidate.
 
 mod allocate;
 mod consolidate;
@@ -7,7 +7,7 @@
 mod fit;
 mod gather;
 
-pub use allocate::allocate;
+pub use allocate::{allocate_firm, allocate_rest};
 pub use consolidate::consolidate;
 pub use evict::{preempt, reclaim, Scenario};
 pub use fit::{allowed, fits};
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -93,10 +93,11 @@
         let mut picture = Snapshot::take(self, now);
         let mut scenario = actions::Scenario::default();
         let waiting = self.waiting(now);
-        let mut placements = actions::allocate(self, &mut picture, &waiting, true);
+        let mut placements = actions::allocate_firm(self, &mut picture, &waiting, true);
         actions::reclaim(self, &mut picture, &waiting, &mut scenario);
         actions::preempt(self, &mut picture, &waiting, &mut scenario);
-        placements.extend(actions::allocate(self, &mut picture, &waiting, false));
+        placements.extend(actions::allocate_firm(self, &mut picture, &waiting, false));
+        placements.extend(actions::allocate_rest(self, &mut picture, &waiting));
         if scenario.evictions.is_empty() && now.time >= self.next_move {
             let emptied = actions::consolidate(self, &mut picture, &mut scenario);
             self.next_move = now.time + self.period;
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -32,8 +32,8 @@
     offer: Offer,
     gpus: bool,
     free: Resources,
-    /// What is left for work that can't wait: some machines come up late or never, so part of each
-    /// is not counted on.
+    /// What is left for work that can't wait: half of the machines take longer to boot than the
+    /// usual, and some never come up, so half of each is not counted on.
     sure: Resources,
     machines: u32,
 }
@@ -46,7 +46,7 @@
             return each;
         }
         // A task that takes most of a machine has it all the same.
-        let whole = u32::from(each > 0 && self.sure.cpus == self.free.cpus * 3 / 4);
+        let whole = u32::from(each > 0 && self.sure.cpus == self.free.cpus / 2);
         each.min(self.sure.count(&job.need).max(whole))
     }
 }
@@ -157,9 +157,9 @@
         Bin {
             gpus: free.gpus > 0,
             sure: Resources {
-                cpus: free.cpus * 3 / 4,
+                cpus: free.cpus / 2,
                 gpus: free.gpus,
-                memory: free.memory,
+                memory: free.memory / 2,
             },
             free,
             offer,
