--- a/crates/core/src/reads.rs
+++ b/crates/core/src/reads.rs
@@ -84,7 +84,7 @@
             from_peer,
             tries: 0,
         };
-        if self.reads.open >= MAX_OPEN {
+        if self.reads.open >= MAX_OPEN || self.calls.is_behind() {
             return self.refuse(waiting.req, "too many requests are open");
         }
         if let Some(record) = self.final_record(waiting.job()) {
--- a/crates/core/src/state_calls.rs
+++ b/crates/core/src/state_calls.rs
@@ -46,6 +46,12 @@
         self.queues[urgency as usize].push_back((call, purpose));
     }
 
+    /// Whether more of users' calls wait than can go out within a second: one more would be answered
+    /// too late.
+    pub fn is_behind(&self) -> bool {
+        self.queues[Urgency::User as usize].len() as f64 > self.rate.max(1.0)
+    }
+
     /// The purpose of a call that has been answered.
     pub fn finish(&mut self, id: CallId) -> Option<P> {
         self.open.remove(&id)
@@ -71,3 +77,23 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What can't be asked for in time must be refused at once, not queued without bound.
+    #[test]
+    fn users_calls_do_not_pile_up() {
+        let mut calls = StateCalls::new(5.0);
+        let mut queued = 0;
+        while !calls.is_behind() {
+            calls.call(Urgency::User, StateCall::Get("pub/job/wk-1".into()), ());
+            queued += 1;
+        }
+        assert_eq!(queued, 6);
+        let mut out = Vec::new();
+        calls.pump(Time(2_000), &mut out);
+        assert!(!out.is_empty() && !calls.is_behind());
+    }
+}
