--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -312,6 +312,7 @@
         if report.token > self.epoch || self.returned.contains_key(&report.machine) {
             // A higher token: another node leads. A machine that was returned is gone, so this is
             // a late copy; to answer it would help nobody.
+            log::debug!("a report of {} is refused", report.machine);
             return None;
         }
         self.hear(report, now);
@@ -364,6 +365,15 @@
             }
             return;
         }
+        if !self.machines.contains_key(&report.machine) {
+            let known = self.machine_type(&report.machine_type).is_some();
+            let of = if known {
+                ""
+            } else {
+                " of a type that the catalog lacks"
+            };
+            log::info!("{} reports, unexpected{of}", report.machine);
+        }
         let room = self.room_of(&report.machine_type);
         let epoch = self.epoch;
         let machine = (self.machines.entry(report.machine.clone())).or_insert_with(|| {
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -271,6 +271,7 @@
     /// Takes in a report. Old ones change nothing.
     pub fn absorb(&mut self, report: &Report, epoch: Epoch, now: Time) -> Vec<Change> {
         if (report.session, report.seq) <= self.newest {
+            log::debug!("an old report of {} changes nothing", self.id);
             return Vec::new();
         }
         let renewed = report.session > self.newest.0 && self.newest.0 != Session(0);
