--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -18,7 +18,7 @@
 const DEPTH: usize = 24;
 /// Users take a job that does not begin within four minutes for not served. Room is gathered in
 /// time for a gang to begin well before, and not sooner: meanwhile smaller work goes first.
-const BEGIN_S: f64 = 140.0;
+const BEGIN_S: f64 = 90.0;
 /// Gathering takes longer than owners' estimates say.
 const SLOWER: f64 = 1.5;
 /// What boots and fetches may add.
