--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -1,178 +1,157 @@
 //! HTTP servers: one for users, workers and health checks, one for peers and administrators.
 
+use crate::http::{self, Answer, Answers, Limits, Request, Server};
 use crate::requests::{self, Incoming, MAX_BODY};
 use crossbeam_channel::{Sender, TrySendError};
 use rudderreel_core::{AdminRequest, Input, ReqId, UserRequest};
 use rudderreel_wire::peer::{Forward, Heartbeat, Reports};
-use std::collections::HashMap;
-use std::io::Read;
-use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use tiny_http::{Header, Method, Request, Response, Server};
-
-/// The largest body that a peer sends: reports of many workers, or counts of many jobs.
+use rudderreel_wire::settings::Settings;
+
+/// The largest body that a peer sends: reports of many workers, or counts of many jobs. Reports
+/// are passed on in batches well below it.
 const MAX_PEER_BODY: usize = 1 << 20;
+/// Tell the servers' requests apart.
+const FRONT: u8 = 0;
+const PEERS: u8 = 1;
+/// Sockets that are reckoned with if the platform does not name a limit.
+const SOCKETS: usize = 1_024;
+
+/// Inputs on their way to the core: reports are many, and must not hold up the rest.
+#[derive(Clone)]
+pub struct ToCore {
+    /// Reports of workers, and batches of them.
+    pub reports: Sender<Input>,
+    /// Everything else.
+    pub rest: Sender<Input>,
+}
 
 /// Requests that wait for the core's answer.
 #[derive(Clone, Default)]
 pub struct Open {
-    requests: Arc<Mutex<HashMap<ReqId, Request>>>,
-    next: Arc<AtomicU64>,
+    servers: Vec<Answers>,
 }
 
 impl Open {
-    fn add(&self, request: Request) -> ReqId {
-        let id = ReqId(self.next.fetch_add(1, Ordering::Relaxed));
-        let mut map = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
-        map.insert(id, request);
-        id
-    }
-
-    fn take(&self, id: ReqId) -> Option<Request> {
-        let mut map = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
-        map.remove(&id)
-    }
-
     /// Answers a request with JSON.
     pub fn answer(&self, id: ReqId, status: u16, body: String, retry_after: Option<u32>) {
-        if let Some(request) = self.take(id) {
-            respond(request, status, body.into_bytes(), retry_after);
-        }
+        let answer = Answer {
+            retry_after,
+            ..Answer::json(status, body.into_bytes())
+        };
+        self.send(id, answer);
     }
 
     /// Answers a peer with bytes.
     pub fn answer_bytes(&self, id: ReqId, body: Vec<u8>) {
-        if let Some(request) = self.take(id) {
-            respond(request, 200, body, None);
-        }
+        self.send(id, Answer::json(200, body));
     }
-}
-
-fn header(name: &str, value: &str) -> Option<Header> {
-    Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
-}
 
-fn respond(request: Request, status: u16, body: Vec<u8>, retry_after: Option<u32>) {
-    let mut response = Response::from_data(body)
-        .with_status_code(status)
-        .with_chunked_threshold(usize::MAX);
-    if let Some(json) = header("Content-Type", "application/json") {
-        response.add_header(json);
-    }
-    if let Some(when) = retry_after.and_then(|s| header("Retry-After", &s.to_string())) {
-        response.add_header(when);
-    }
-    if let Err(e) = request.respond(response) {
-        log::debug!("an answer was not taken: {e}");
+    fn send(&self, id: ReqId, answer: Answer) {
+        if let Some(server) = self.servers.get(http::mark_of(id) as usize) {
+            server.send(id, answer);
+        }
     }
 }
 
-fn reject(request: Request, status: u16, text: &str) {
-    let body = serde_json::json!({ "error": text }).to_string();
-    let retry = (status == 503).then_some(1);
-    respond(request, status, body.into_bytes(), retry);
+/// Connections by the sockets that the platform allows: three quarters at the front, of these three
+/// quarters for workers, and an eighth for peers. The last eighth is left for this node's own calls.
+fn limits(settings: &Settings) -> (Limits, Limits) {
+    let allowed = settings.params.limits.as_ref().map(|l| l.fd_limit as usize);
+    let sockets = allowed.filter(|n| *n > 0).unwrap_or(SOCKETS);
+    let connections = (sockets * 3 / 4).max(16);
+    let front = Limits {
+        connections,
+        workers: connections * 3 / 4,
+        body: MAX_BODY,
+    };
+    let peers = Limits {
+        connections: (sockets / 8).max(16),
+        workers: 0,
+        body: MAX_PEER_BODY,
+    };
+    (front, peers)
 }
 
-/// Reads the body; none if it is too long or breaks off.
-fn body(request: &mut Request, most: usize) -> Option<Vec<u8>> {
-    if request.body_length().is_some_and(|n| n > most) {
-        return None;
-    }
-    let mut bytes = Vec::with_capacity(request.body_length().unwrap_or(0));
-    let read = request
-        .as_reader()
-        .take(most as u64 + 1)
-        .read_to_end(&mut bytes);
-    (read.is_ok() && bytes.len() <= most).then_some(bytes)
+/// Listens for users and workers, and for peers.
+pub fn listen(settings: &Settings) -> Result<(Server, Server, Open), String> {
+    let (for_front, for_peers) = limits(settings);
+    let (front, a) = Server::listen(settings.listen, FRONT, for_front)?;
+    let (peers, b) = Server::listen(settings.peer_listen, PEERS, for_peers)?;
+    Ok((
+        front,
+        peers,
+        Open {
+            servers: vec![a, b],
+        },
+    ))
 }
 
 /// Hands an input to the core. If the core is too far behind, the request is refused at once.
-fn hand_over(
-    open: &Open,
-    core: &Sender<Input>,
-    request: Request,
-    input: impl FnOnce(ReqId) -> Input,
-) {
-    let id = open.add(request);
-    if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) = core.try_send(input(id)) {
-        if let Some(request) = open.take(id) {
-            reject(request, 503, "overloaded");
+fn hand_over(core: &Sender<Input>, input: Input) -> Option<Answer> {
+    match core.try_send(input) {
+        Ok(()) => None,
+        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+            Some(Answer::error(503, "overloaded"))
         }
     }
 }
 
-/// Listens at an address.
-pub fn listen(addr: SocketAddrV4) -> Result<Server, String> {
-    Server::http(addr).map_err(|e| format!("{addr}: {e}"))
-}
-
 /// Serves users, workers and health checks.
-pub fn serve_front(server: &Server, open: &Open, core: &Sender<Input>) {
-    for mut request in server.incoming_requests() {
-        let method = request.method().to_string();
-        let bytes = body(&mut request, MAX_BODY);
-        match requests::front(&method, request.url(), bytes.as_deref()) {
-            Ok(Incoming::User(user)) => hand_over(open, core, request, |id| Input::User(id, user)),
-            Ok(Incoming::Report(report)) => {
-                hand_over(open, core, request, |id| Input::Report(id, report))
-            }
-            Ok(Incoming::Health) => hand_over(open, core, request, Input::Health),
-            Err(rejected) => reject(request, rejected.status, &rejected.text),
-        }
-    }
+pub fn serve_front(server: Server, core: &ToCore) {
+    server.serve(
+        |id, request| match requests::front(request.method, request.url, request.body) {
+            Ok(Incoming::User(user)) => hand_over(&core.rest, Input::User(id, user)),
+            Ok(Incoming::Report(report)) => hand_over(&core.reports, Input::Report(id, report)),
+            Ok(Incoming::Health) => hand_over(&core.rest, Input::Health(id)),
+            Err(rejected) => Some(Answer::error(rejected.status, &rejected.text)),
+        },
+    );
 }
 
 /// Serves peers and administrators.
-pub fn serve_peers(server: &Server, open: &Open, core: &Sender<Input>) {
-    for mut request in server.incoming_requests() {
-        let bytes = body(&mut request, MAX_PEER_BODY).unwrap_or_default();
-        let post = *request.method() == Method::Post;
-        let path = request.url().to_string();
-        match (post, path.as_str()) {
-            (true, "/peer/heartbeat") => match bitcode::decode::<Heartbeat>(&bytes) {
-                Ok(beat) => hand_over(open, core, request, |id| Input::Heartbeat(id, beat)),
-                Err(e) => reject(request, 400, &e.to_string()),
-            },
-            (true, "/peer/reports") => match bitcode::decode::<Reports>(&bytes) {
-                Ok(reports) => hand_over(open, core, request, |id| Input::Reports(id, reports)),
-                Err(e) => reject(request, 400, &e.to_string()),
-            },
-            (true, "/peer/forward") => match forwarded(&bytes) {
-                Some(ForwardedTo::User(user)) => {
-                    hand_over(open, core, request, |id| Input::Forwarded(id, user))
-                }
-                Some(ForwardedTo::Admin(ask)) => {
-                    hand_over(open, core, request, |id| Input::Admin(id, ask, false))
-                }
-                None => reject(request, 400, "unreadable"),
-            },
-            _ if path.starts_with("/admin/") => admin(open, core, request, &path, &bytes),
-            _ => reject(request, 404, "no such path"),
-        }
+pub fn serve_peers(server: Server, core: &ToCore) {
+    server.serve(|id, request| peer_request(id, &request, core));
+}
+
+fn peer_request(id: ReqId, request: &Request, core: &ToCore) -> Option<Answer> {
+    let Some(bytes) = request.body else {
+        return Some(Answer::error(400, "the body is too long"));
+    };
+    match (request.method, request.url) {
+        ("POST", "/peer/heartbeat") => match bitcode::decode::<Heartbeat>(bytes) {
+            Ok(beat) => hand_over(&core.rest, Input::Heartbeat(id, beat)),
+            Err(e) => Some(Answer::error(400, &e.to_string())),
+        },
+        ("POST", "/peer/reports") => match bitcode::decode::<Reports>(bytes) {
+            Ok(reports) => hand_over(&core.reports, Input::Reports(id, reports)),
+            Err(e) => Some(Answer::error(400, &e.to_string())),
+        },
+        ("POST", "/peer/forward") => match forwarded(bytes) {
+            Some(ForwardedTo::User(user)) => hand_over(&core.rest, Input::Forwarded(id, user)),
+            Some(ForwardedTo::Admin(ask)) => hand_over(&core.rest, Input::Admin(id, ask, false)),
+            None => Some(Answer::error(400, "unreadable")),
+        },
+        (method, path) if path.starts_with("/admin/") => admin(id, method, path, bytes, core),
+        _ => Some(Answer::error(404, "no such path")),
     }
 }
 
 /// Serves the administration API.
-fn admin(open: &Open, core: &Sender<Input>, request: Request, path: &str, bytes: &[u8]) {
-    let replace = *request.method() == Method::Put && path == "/admin/settings";
-    let ask = if replace {
-        match serde_json::from_slice(bytes) {
+fn admin(id: ReqId, method: &str, path: &str, bytes: &[u8], core: &ToCore) -> Option<Answer> {
+    let ask = match method {
+        "PUT" if path == "/admin/settings" => match serde_json::from_slice(bytes) {
             Ok(new) => Some(AdminRequest::Replace(Box::new(new))),
-            Err(e) => return reject(request, 400, &e.to_string()),
+            Err(e) => return Some(Answer::error(400, &e.to_string())),
+        },
+        "GET" => AdminRequest::of_path(path),
+        _ => {
+            let text = "only GET, and PUT for settings, are allowed here";
+            return Some(Answer::error(405, text));
         }
-    } else if *request.method() == Method::Get {
-        AdminRequest::of_path(path)
-    } else {
-        return reject(
-            request,
-            405,
-            "only GET, and PUT for settings, are allowed here",
-        );
     };
     match ask {
-        Some(ask) => hand_over(open, core, request, |id| Input::Admin(id, ask, true)),
-        None => reject(request, 404, "no such path"),
+        Some(ask) => hand_over(&core.rest, Input::Admin(id, ask, true)),
+        None => Some(Answer::error(404, "no such path")),
     }
 }
 
--- /dev/null
+++ b/crates/controller/src/http.rs
@@ -0,0 +1,839 @@
+//! An HTTP/1.1 server on one standard thread over a readiness poll. A thread for each connection
+//! would pass the platform's bound on threads when a whole fleet comes to one node, so connections
+//! are only entries here. Requests that need deciding are answered later, from any thread, through
+//! [`Answers`]; a connection has at most one open at a time.
+//!
+//! Connections are counted. Those of workers may take only a part, so that users, health checks and
+//! peers keep their places; what is too many is refused at once.
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use rudderreel_core::ReqId;
+use slab::Slab;
+use std::borrow::Cow;
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A request's head may be so long.
+const MAX_HEAD: usize = 16 * 1024;
+/// Headers that a request may have.
+const MAX_HEADERS: usize = 64;
+/// What is read at once.
+const SCRATCH: usize = 64 * 1024;
+/// Answers that may wait to be written. More can't be open than there are connections; whoever
+/// sends one more waits until the server's thread has taken some.
+const ANSWERS: usize = 4_096;
+/// A request that is not complete, or an answer that is not taken, after so long ends its
+/// connection, as does one that has never said anything.
+const STALLED: Duration = Duration::from_secs(15);
+/// A connection that says nothing more is closed after so long. Workers and users come back every
+/// few seconds.
+const SILENT: Duration = Duration::from_secs(150);
+/// One that has said nothing for so long makes way for a new one if there are too many.
+const IDLE: Duration = Duration::from_secs(20);
+/// How often connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+/// A refusal of a connection, which is not even read from.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
+    Connection: close\r\nContent-Length: 0\r\n\r\n";
+
+const LISTENER: Token = Token(usize::MAX);
+const WAKER: Token = Token(usize::MAX - 1);
+
+/// What is sent back.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Vec<u8>,
+    /// When to come back, in seconds.
+    pub retry_after: Option<u32>,
+    /// Whether the connection ends with it.
+    pub close: bool,
+}
+
+/// A request as it came in.
+pub struct Request<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path and query.
+    pub url: &'a str,
+    /// Body; none if it was too long.
+    pub body: Option<&'a [u8]>,
+}
+
+/// How much a server takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections.
+    pub connections: usize,
+    /// Of these for requests to paths that workers use.
+    pub workers: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+}
+
+/// The path that workers report at.
+pub const REPORT: &str = "/v1/report";
+
+/// Where answers to open requests are sent.
+#[derive(Clone)]
+pub struct Answers {
+    queue: Sender<(ReqId, Answer)>,
+    waker: Arc<Waker>,
+    awake: Arc<AtomicBool>,
+}
+
+impl Answers {
+    /// Answers a request. If its connection is gone, so is the answer.
+    pub fn send(&self, id: ReqId, answer: Answer) {
+        if self.queue.send((id, answer)).is_ok() && !self.awake.swap(true, Ordering::AcqRel) {
+            if let Err(e) = self.waker.wake() {
+                log::error!("the server can't be woken: {e}");
+            }
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Reading,
+    Deciding,
+    Writing,
+}
+
+struct Connection {
+    stream: TcpStream,
+    stage: Stage,
+    /// What has come in and is not used up.
+    input: Vec<u8>,
+    /// What is to be written, and how much of it has been.
+    output: Vec<u8>,
+    written: usize,
+    /// Tells its requests apart.
+    serial: u32,
+    close: bool,
+    worker: bool,
+    /// Whether it has ever asked for anything.
+    spoken: bool,
+    /// Whether its client, which asked first, was told to send the body.
+    told_to_go: bool,
+    /// When it last got anywhere.
+    since: Instant,
+}
+
+/// A server that listens.
+pub struct Server {
+    /// Tells the requests of several servers apart.
+    mark: u64,
+    poll: Poll,
+    listener: TcpListener,
+    connections: Slab<Connection>,
+    workers: usize,
+    serial: u32,
+    limits: Limits,
+    answers: Receiver<(ReqId, Answer)>,
+    awake: Arc<AtomicBool>,
+    scratch: Vec<u8>,
+}
+
+/// Which server a request came to.
+pub fn mark_of(id: ReqId) -> u64 {
+    id.0 >> 56
+}
+
+impl Server {
+    /// Listens at an address.
+    pub fn listen(addr: SocketAddrV4, mark: u8, limits: Limits) -> Result<(Self, Answers), String> {
+        let failed = |e: std::io::Error| format!("{addr}: {e}");
+        let poll = Poll::new().map_err(failed)?;
+        let mut listener = TcpListener::bind(addr.into()).map_err(failed)?;
+        let registry = poll.registry();
+        (registry.register(&mut listener, LISTENER, Interest::READABLE)).map_err(failed)?;
+        let waker = Arc::new(Waker::new(registry, WAKER).map_err(failed)?);
+        let (queue, answers) = bounded(ANSWERS);
+        let awake = Arc::new(AtomicBool::new(false));
+        let server = Self {
+            mark: u64::from(mark),
+            poll,
+            listener,
+            connections: Slab::new(),
+            workers: 0,
+            serial: 0,
+            limits,
+            answers,
+            awake: awake.clone(),
+            scratch: vec![0; SCRATCH],
+        };
+        let answers = Answers {
+            queue,
+            waker,
+            awake,
+        };
+        Ok((server, answers))
+    }
+
+    /// Serves for ever. `handle` answers a request, or sees to it that it is answered later.
+    pub fn serve(mut self, mut handle: impl FnMut(ReqId, Request) -> Option<Answer>) {
+        let mut events = Events::with_capacity(512);
+        let mut next_sweep = Instant::now() + SWEEP;
+        loop {
+            if let Err(e) = self.poll.poll(&mut events, Some(SWEEP)) {
+                if e.kind() != ErrorKind::Interrupted {
+                    log::error!("waiting for connections: {e}");
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+                continue;
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    WAKER => {}
+                    Token(at) => {
+                        if event.is_writable() {
+                            self.write(at);
+                            self.go_on(at, &mut handle);
+                        }
+                        if event.is_readable() || event.is_read_closed() {
+                            self.read(at, event.is_read_closed(), &mut handle);
+                        }
+                    }
+                }
+            }
+            self.awake.store(false, Ordering::Release);
+            while let Ok((id, answer)) = self.answers.try_recv() {
+                self.answer(id, answer, &mut handle);
+            }
+            let now = Instant::now();
+            if now >= next_sweep {
+                next_sweep = now + SWEEP;
+                self.sweep(now);
+            }
+        }
+    }
+
+    fn accept(&mut self) {
+        loop {
+            let mut stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) => {
+                    // No socket is free, or the other side has gone again.
+                    log::warn!("a connection was not accepted: {e}");
+                    return;
+                }
+            };
+            let now = Instant::now();
+            if self.connections.len() >= self.limits.connections && !self.make_room(now) {
+                // It can't be read from, so it is told at once, as far as that goes.
+                let _ = stream.write(REFUSAL);
+                log::debug!("a connection too many");
+                continue;
+            }
+            let entry = self.connections.vacant_entry();
+            let token = Token(entry.key());
+            let registry = self.poll.registry();
+            if let Err(e) = registry.register(&mut stream, token, Interest::READABLE) {
+                log::warn!("a connection was not taken: {e}");
+                continue;
+            }
+            entry.insert(Connection {
+                stream,
+                stage: Stage::Reading,
+                input: Vec::new(),
+                output: Vec::new(),
+                written: 0,
+                serial: 0,
+                close: false,
+                worker: false,
+                spoken: false,
+                told_to_go: false,
+                since: now,
+            });
+        }
+    }
+
+    /// Closes the connection that has said nothing for longest, if that is long.
+    fn make_room(&mut self, now: Instant) -> bool {
+        let idle = (self.connections.iter())
+            .filter(|(_, c)| c.stage == Stage::Reading && now - c.since > IDLE)
+            .min_by_key(|(_, c)| c.since)
+            .map(|(at, _)| at);
+        idle.map(|at| self.drop_connection(at)).is_some()
+    }
+
+    fn drop_connection(&mut self, at: usize) {
+        if let Some(mut gone) = self.connections.try_remove(at) {
+            self.workers -= usize::from(gone.worker);
+            let _ = self.poll.registry().deregister(&mut gone.stream);
+        }
+    }
+
+    /// Ends connections that stall, and those that have been silent for long.
+    fn sweep(&mut self, now: Instant) {
+        let due: Vec<usize> = (self.connections.iter())
+            .filter(|(_, c)| {
+                let fresh = c.stage == Stage::Reading && c.input.is_empty() && c.spoken;
+                let most = match c.stage {
+                    Stage::Deciding => SILENT,
+                    _ if fresh => SILENT,
+                    _ => STALLED,
+                };
+                now - c.since > most
+            })
+            .map(|(at, _)| at)
+            .collect();
+        for at in due {
+            self.drop_connection(at);
+        }
+    }
+
+    fn read(
+        &mut self,
+        at: usize,
+        closing: bool,
+        handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>,
+    ) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(connection) = self.connections.get_mut(at) {
+            match connection.stream.read(&mut scratch) {
+                Ok(0) => self.drop_connection(at),
+                Ok(n) => {
+                    self.take_bytes(at, &scratch[..n], handle);
+                    // A short read has taken all there was; more will be told anew.
+                    if n < scratch.len() && !closing {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => self.drop_connection(at),
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    fn take_bytes(
+        &mut self,
+        at: usize,
+        bytes: &[u8],
+        handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>,
+    ) {
+        let Some(connection) = self.connections.get_mut(at) else {
+            return;
+        };
+        if connection.stage == Stage::Reading && connection.input.is_empty() {
+            // Mostly a whole request comes at once, and is used where it is.
+            let used = self.next_request(at, bytes, handle);
+            if let Some(connection) = self.connections.get_mut(at) {
+                connection.input.extend_from_slice(&bytes[used..]);
+            }
+            if used == 0 {
+                return;
+            }
+        } else {
+            connection.input.extend_from_slice(bytes);
+            if connection.input.len() > 2 * (MAX_HEAD + self.limits.body) {
+                return self.drop_connection(at);
+            }
+        }
+        self.go_on(at, handle);
+    }
+
+    /// Takes requests from what has come in, as long as there are whole ones and none is open.
+    fn go_on(&mut self, at: usize, handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>) {
+        while let Some(connection) = self.connections.get_mut(at) {
+            if connection.stage != Stage::Reading || connection.input.is_empty() {
+                return;
+            }
+            let mut input = std::mem::take(&mut connection.input);
+            let used = self.next_request(at, &input, handle);
+            input.drain(..used);
+            if let Some(connection) = self.connections.get_mut(at) {
+                connection.input = input;
+            }
+            if used == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Handles a request if it is complete; returns how many bytes were used up.
+    fn next_request(
+        &mut self,
+        at: usize,
+        bytes: &[u8],
+        handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>,
+    ) -> usize {
+        let parsed = parse(bytes, self.limits.body);
+        let Some(connection) = self.connections.get_mut(at) else {
+            return 0;
+        };
+        let parsed = match parsed {
+            Parsed::Partial { wants_go } => {
+                if wants_go && !connection.told_to_go {
+                    connection.told_to_go = true;
+                    let _ = connection.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+                }
+                return 0;
+            }
+            Parsed::Bad => {
+                connection.close = true;
+                self.begin_answer(at, &Answer::error(400, "not HTTP"));
+                return bytes.len();
+            }
+            Parsed::Whole(parsed) => parsed,
+        };
+        connection.since = Instant::now();
+        connection.spoken = true;
+        connection.told_to_go = false;
+        connection.close = parsed.close || parsed.body.is_none();
+        connection.stage = Stage::Deciding;
+        let used = parsed.used;
+        if !connection.worker && parsed.url == REPORT {
+            if self.workers >= self.limits.workers {
+                connection.close = true;
+                self.begin_answer(at, &Answer::elsewhere());
+                return used;
+            }
+            connection.worker = true;
+            self.workers += 1;
+        }
+        self.serial = self.serial.wrapping_add(1);
+        connection.serial = self.serial & 0x00ff_ffff;
+        let id = ReqId(self.mark << 56 | u64::from(connection.serial) << 32 | at as u64);
+        let request = Request {
+            method: parsed.method,
+            url: parsed.url,
+            body: parsed.body.as_deref(),
+        };
+        if let Some(answer) = handle(id, request) {
+            self.begin_answer(at, &answer);
+        }
+        used
+    }
+
+    fn answer(
+        &mut self,
+        id: ReqId,
+        answer: Answer,
+        handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>,
+    ) {
+        let at = (id.0 & u64::from(u32::MAX)) as usize;
+        let serial = (id.0 >> 32) as u32 & 0x00ff_ffff;
+        let open = (self.connections.get(at))
+            .is_some_and(|c| c.stage == Stage::Deciding && c.serial == serial);
+        if open {
+            self.begin_answer(at, &answer);
+            self.go_on(at, handle);
+        }
+    }
+
+    fn begin_answer(&mut self, at: usize, answer: &Answer) {
+        if let Some(connection) = self.connections.get_mut(at) {
+            connection.close |= answer.close;
+            connection.output = answer.bytes(connection.close);
+            connection.written = 0;
+            connection.stage = Stage::Writing;
+            self.write(at);
+        }
+    }
+
+    fn write(&mut self, at: usize) {
+        let Some(connection) = self.connections.get_mut(at) else {
+            return;
+        };
+        if connection.stage != Stage::Writing {
+            return;
+        }
+        while connection.written < connection.output.len() {
+            match (connection.stream).write(&connection.output[connection.written..]) {
+                Ok(n) if n > 0 => connection.written += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    let both = Interest::READABLE | Interest::WRITABLE;
+                    let registry = self.poll.registry();
+                    if registry
+                        .reregister(&mut connection.stream, Token(at), both)
+                        .is_err()
+                    {
+                        self.drop_connection(at);
+                    }
+                    return;
+                }
+                _ => return self.drop_connection(at),
+            }
+        }
+        connection.output = Vec::new();
+        connection.stage = Stage::Reading;
+        connection.since = Instant::now();
+        if connection.close {
+            return self.drop_connection(at);
+        }
+    }
+}
+
+impl Answer {
+    /// JSON with a status.
+    pub fn json(status: u16, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            body,
+            ..Self::default()
+        }
+    }
+
+    /// A refusal with a text; after a 503 the client is told when to come back.
+    pub fn error(status: u16, text: &str) -> Self {
+        let body = serde_json::json!({ "error": text }).to_string();
+        Self {
+            retry_after: (status == 503).then_some(1),
+            ..Self::json(status, body.into_bytes())
+        }
+    }
+
+    /// Sends a worker on to some other node.
+    fn elsewhere() -> Self {
+        Self {
+            close: true,
+            ..Self::json(421, b"{}".to_vec())
+        }
+    }
+
+    fn bytes(&self, close: bool) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(128 + self.body.len());
+        let retry = (self.retry_after)
+            .map(|s| format!("Retry-After: {s}\r\n"))
+            .unwrap_or_default();
+        let connection = if close { "Connection: close\r\n" } else { "" };
+        let head = format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{retry}{connection}\r\n",
+            self.status,
+            reason(self.status),
+            self.body.len(),
+        );
+        bytes.extend_from_slice(head.as_bytes());
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Other",
+    }
+}
+
+/// A request that is complete.
+struct Whole<'a> {
+    method: &'a str,
+    url: &'a str,
+    /// None if it is too long: then the rest of it is not read.
+    body: Option<Cow<'a, [u8]>>,
+    used: usize,
+    close: bool,
+}
+
+enum Parsed<'a> {
+    /// More must come; the client may wait to be told to send it.
+    Partial {
+        wants_go: bool,
+    },
+    Bad,
+    Whole(Whole<'a>),
+}
+
+fn parse(bytes: &[u8], most: usize) -> Parsed<'_> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let start = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(start)) => start,
+        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD => {
+            return Parsed::Partial { wants_go: false };
+        }
+        _ => return Parsed::Bad,
+    };
+    let (Some(method), Some(url)) = (head.method, head.path) else {
+        return Parsed::Bad;
+    };
+    let mut framing = Framing::Length(0);
+    let mut close = head.version == Some(0);
+    let mut wants_go = false;
+    for header in head.headers.iter() {
+        let Ok(value) = std::str::from_utf8(header.value) else {
+            continue;
+        };
+        let value = value.trim();
+        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+        if is("content-length") {
+            match value.parse() {
+                Ok(n) => framing = Framing::Length(n),
+                Err(_) => return Parsed::Bad,
+            }
+        } else if is("transfer-encoding") {
+            framing = Framing::Chunked;
+        } else if is("connection") {
+            close |= value.eq_ignore_ascii_case("close");
+        } else if is("expect") {
+            wants_go = value.eq_ignore_ascii_case("100-continue");
+        }
+    }
+    let rest = &bytes[start..];
+    let (body, used) = match framing {
+        Framing::Length(n) if n > most => (None, rest.len()),
+        Framing::Length(n) if n > rest.len() => return Parsed::Partial { wants_go },
+        Framing::Length(n) => (Some(Cow::Borrowed(&rest[..n])), n),
+        Framing::Chunked => match chunks(rest, most) {
+            Chunks::Whole(body, used) => (Some(Cow::Owned(body)), used),
+            Chunks::TooLong => (None, rest.len()),
+            Chunks::Partial => return Parsed::Partial { wants_go },
+            Chunks::Bad => return Parsed::Bad,
+        },
+    };
+    Parsed::Whole(Whole {
+        method,
+        url,
+        body,
+        used: start + used,
+        close,
+    })
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+}
+
+enum Chunks {
+    Whole(Vec<u8>, usize),
+    TooLong,
+    Partial,
+    Bad,
+}
+
+fn chunks(bytes: &[u8], most: usize) -> Chunks {
+    let mut body = Vec::new();
+    let mut at = 0;
+    loop {
+        let (head, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) => return Chunks::Partial,
+            Err(_) => return Chunks::Bad,
+        };
+        if size > (most - body.len()) as u64 {
+            return Chunks::TooLong;
+        }
+        let (from, size) = (at + head, size as usize);
+        let Some(chunk) = bytes.get(from..from + size + 2) else {
+            return Chunks::Partial;
+        };
+        if &chunk[size..] != b"\r\n" {
+            return Chunks::Bad;
+        }
+        body.extend_from_slice(&chunk[..size]);
+        at = from + size + 2;
+        if size == 0 {
+            return Chunks::Whole(body, at);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpStream as Client;
+
+    const LIMITS: Limits = Limits {
+        connections: 60,
+        workers: 40,
+        body: 1_000,
+    };
+
+    /// A server on loopback that answers everything but reports at once; those from another thread.
+    fn start() -> SocketAddrV4 {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let (server, answers) = Server::listen(any, 1, LIMITS).expect("it listens");
+        let addr = match server.listener.local_addr().expect("an address") {
+            std::net::SocketAddr::V4(addr) => addr,
+            std::net::SocketAddr::V6(_) => panic!("not asked for"),
+        };
+        std::thread::spawn(move || {
+            server.serve(|id, request| {
+                if request.url == REPORT {
+                    let (answers, body) = (answers.clone(), request.body.map(<[u8]>::to_vec));
+                    std::thread::spawn(move || {
+                        answers.send(id, Answer::json(200, body.unwrap_or_default()))
+                    });
+                    return None;
+                }
+                match request.body {
+                    Some(body) => Some(Answer::json(200, body.to_vec())),
+                    None => Some(Answer::error(400, "too long")),
+                }
+            });
+        });
+        addr
+    }
+
+    fn open(addr: SocketAddrV4) -> Client {
+        let client = Client::connect(addr).expect("it connects");
+        let most = Some(Duration::from_secs(10));
+        client.set_read_timeout(most).expect("a time limit");
+        client
+    }
+
+    /// Reads one answer: status and body. None if the connection ended first.
+    fn answer(client: &mut Client) -> Option<(u16, String)> {
+        let mut bytes = Vec::new();
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; 16];
+            let mut head = httparse::Response::new(&mut headers);
+            if let Ok(httparse::Status::Complete(start)) = head.parse(&bytes) {
+                let length = (head.headers.iter())
+                    .find(|h| h.name == "Content-Length")
+                    .and_then(|h| std::str::from_utf8(h.value).ok()?.parse().ok())
+                    .unwrap_or(0);
+                if let Some(body) = bytes.get(start..start + length) {
+                    let text = String::from_utf8_lossy(body).into_owned();
+                    return Some((head.code?, text));
+                }
+            }
+            let mut byte = [0];
+            match client.read(&mut byte) {
+                Ok(1) => bytes.push(byte[0]),
+                _ => return None,
+            }
+        }
+    }
+
+    fn ask(client: &mut Client, text: &str) -> Option<(u16, String)> {
+        client.write_all(text.as_bytes()).ok()?;
+        answer(client)
+    }
+
+    fn report(client: &mut Client) -> Option<(u16, String)> {
+        ask(
+            client,
+            "POST /v1/report HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+        )
+    }
+
+    fn up(client: &mut Client) -> Option<(u16, String)> {
+        ask(client, "GET /up HTTP/1.1\r\n\r\n")
+    }
+
+    fn is(status: u16) -> impl Fn(&Option<(u16, String)>) -> bool {
+        move |found| found.as_ref().is_some_and(|(s, _)| *s == status)
+    }
+
+    /// With a thread for each connection a node that a whole fleet came to would have ended. Now
+    /// workers beyond their part are sent on at once, everybody beyond the whole is refused at
+    /// once, users and health checks keep their places, and when some have gone there is room again.
+    #[test]
+    fn too_many_connections_are_refused_at_once() {
+        let addr = start();
+        let mut health = open(addr);
+        assert!(is(200)(&up(&mut health)));
+        let mut workers: Vec<Client> = (0..LIMITS.workers).map(|_| open(addr)).collect();
+        assert!(workers.iter_mut().all(|w| is(200)(&report(w))));
+        let mut more = open(addr);
+        assert!(is(421)(&report(&mut more)), "a worker too many is sent on");
+        assert_eq!(answer(&mut more), None, "and its connection ends");
+        let users = LIMITS.connections - LIMITS.workers - 1;
+        let mut users: Vec<Client> = (0..users).map(|_| open(addr)).collect();
+        assert!(users.iter_mut().all(|u| is(200)(&up(u))));
+        let mut refused = open(addr);
+        let answered = answer(&mut refused);
+        assert!(answered.is_none() || is(503)(&answered), "{answered:?}");
+        assert!(is(200)(&up(&mut health)), "those that are there go on");
+        assert!(workers.iter_mut().all(|w| is(200)(&report(w))));
+        drop(workers);
+        // The server sees that they have gone when it gets to it.
+        let again = (0..1_000).any(|_| is(200)(&report(&mut open(addr))));
+        assert!(again, "there is room again");
+    }
+
+    #[test]
+    fn requests_come_whole_in_pieces_in_chunks_and_one_after_the_other() {
+        let addr = start();
+        let mut client = open(addr);
+        let text = "POST /x HTTP/1.1\r\ncontent-length: 5\r\n\r\nhello";
+        for part in text.as_bytes().chunks(7) {
+            client.write_all(part).expect("it is taken");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let hello = Some((200, "hello".to_string()));
+        assert_eq!(answer(&mut client), hello);
+        let chunked = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\
+            2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+        assert_eq!(ask(&mut client, chunked), hello);
+        // Not asked for by the protocol, but a thousand at once must not do harm either.
+        client
+            .write_all(text.repeat(1_000).as_bytes())
+            .expect("taken");
+        assert!((0..1_000).all(|_| answer(&mut client) == hello));
+        let expects = text.replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n");
+        assert_eq!(ask(&mut client, &expects), hello);
+        let last = text.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+        assert_eq!(ask(&mut client, &last), hello);
+        assert_eq!(up(&mut client), None, "the connection has ended");
+    }
+
+    #[test]
+    fn what_is_not_http_or_too_long_is_refused() {
+        let addr = start();
+        let long = "POST /x HTTP/1.1\r\nContent-Length: 1001\r\n\r\n";
+        let chunked = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n";
+        let size = "POST /x HTTP/1.1\r\nContent-Length: -1\r\n\r\n";
+        let head = format!("GET /{} HTTP/1.1\r\n", "x".repeat(MAX_HEAD));
+        for text in [long, chunked, size, "\u{1}\u{2}\r\n\r\n", &head] {
+            assert!(is(400)(&ask(&mut open(addr), text)), "{text:.40}");
+        }
+    }
+
+    /// An answer that comes when its connection serves another request already, or another client.
+    #[test]
+    fn late_answers_are_dropped() {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let (mut server, _) = Server::listen(any, 1, LIMITS).expect("it listens");
+        let mut ids = Vec::new();
+        let _client = open(match server.listener.local_addr().expect("an address") {
+            std::net::SocketAddr::V4(addr) => addr,
+            std::net::SocketAddr::V6(_) => panic!("not asked for"),
+        });
+        while server.connections.is_empty() {
+            server.accept();
+        }
+        for _ in 0..2 {
+            let text = b"GET /up HTTP/1.1\r\n\r\n";
+            server.take_bytes(0, text, &mut |id, _| {
+                ids.push(id);
+                None
+            });
+            server.connections[0].stage = Stage::Reading;
+        }
+        server.connections[0].stage = Stage::Deciding;
+        server.answer(ids[0], Answer::json(200, vec![]), &mut |_, _| None);
+        assert_eq!(server.connections[0].stage, Stage::Deciding);
+        server.answer(ids[1], Answer::json(200, vec![]), &mut |_, _| None);
+        assert_eq!(server.connections[0].stage, Stage::Reading);
+    }
+}
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod clients;
 mod front;
+mod http;
 mod logs;
 mod requests;
 mod shell;
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -3,8 +3,8 @@
 //! core's own calls wait for room.
 
 use crate::clients::{self, Watched};
-use crate::front::{self, Open};
-use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use crate::front::{self, Open, ToCore};
+use crossbeam_channel::{bounded, select, Receiver, Sender};
 use rudderreel_core::units::{Now, Time, Wall};
 use rudderreel_core::{
     CallId, CloudAnswer, CloudCall, Core, DirectOutcome, Input, Output, ReqId, StateAnswer,
@@ -21,6 +21,11 @@
 
 /// Inputs that may wait for the core.
 const INPUTS: usize = 1024;
+/// Reports that may wait for the core: some seconds' worth. A worker gives an answer up after 4 s, so
+/// however large the fleet is, more waiting would only be answered too late.
+const REPORTS: usize = 1024;
+/// Of so many inputs that are taken in a rush at least one is a report.
+const TURNS: u32 = 4;
 /// Calls that may wait for a client thread.
 const CALLS: usize = 256;
 /// How often the core looks at the clock.
@@ -96,21 +101,53 @@
 /// Runs a node until it is killed.
 pub fn run(settings: Settings) -> Result<(), String> {
     let clock = Clock(Instant::now());
-    let (core_in, inputs) = bounded(INPUTS);
-    let open = Open::default();
-    let front = front::listen(settings.listen)?;
-    let peers = front::listen(settings.peer_listen)?;
-    let wires = start_clients(&settings, clock, &core_in, open.clone())?;
-    let (o, c) = (open.clone(), core_in.clone());
-    spawn("front", move || front::serve_front(&front, &o, &c))?;
-    let (o, c) = (open, core_in);
-    spawn("peers", move || front::serve_peers(&peers, &o, &c))?;
+    let (rest, inputs) = bounded(INPUTS);
+    let (reports, reported) = bounded(REPORTS);
+    let (front, peers, open) = front::listen(&settings)?;
+    let wires = start_clients(&settings, clock, &rest, open)?;
+    let to_core = ToCore { reports, rest };
+    let c = to_core.clone();
+    spawn("front", move || front::serve_front(front, &c))?;
+    spawn("peers", move || front::serve_peers(peers, &to_core))?;
     log::info!("node {} serves at {}", settings.node, settings.listen);
-    turn(Core::new(settings), &inputs, &wires, clock);
+    let inputs = Inputs {
+        rest: inputs,
+        reports: reported,
+        turns: 0,
+    };
+    turn(Core::new(settings), inputs, &wires, clock);
     Ok(())
 }
 
-fn turn(mut core: Core, inputs: &Receiver<Input>, wires: &Wires, clock: Clock) {
+/// What waits for the core. Reports come by the hundred when a fleet reconnects, so heartbeats,
+/// users, health checks and answers go before them, but not always.
+struct Inputs {
+    rest: Receiver<Input>,
+    reports: Receiver<Input>,
+    turns: u32,
+}
+
+impl Inputs {
+    /// The next input, if one comes in time.
+    fn next(&mut self, wait: Duration) -> Option<Input> {
+        self.turns = (self.turns + 1) % TURNS;
+        let (first, second) = if self.turns == 0 {
+            (&self.reports, &self.rest)
+        } else {
+            (&self.rest, &self.reports)
+        };
+        if let Ok(input) = first.try_recv().or_else(|_| second.try_recv()) {
+            return Some(input);
+        }
+        select! {
+            recv(self.rest) -> input => input.ok(),
+            recv(self.reports) -> input => input.ok(),
+            default(wait) => None,
+        }
+    }
+}
+
+fn turn(mut core: Core, mut inputs: Inputs, wires: &Wires, clock: Clock) {
     let mut next_tick = Instant::now();
     // Answers to calls that could not be made. A call that is never answered would be waited for
     // for ever.
@@ -124,10 +161,9 @@
             }
             Input::Tick
         } else {
-            match inputs.recv_timeout(wait) {
-                Ok(input) => input,
-                Err(RecvTimeoutError::Timeout) => continue,
-                Err(RecvTimeoutError::Disconnected) => return,
+            match inputs.next(wait) {
+                Some(input) => input,
+                None => continue,
             }
         };
         take(&mut core, input, wires, clock, &mut not_made);
