--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -475,7 +475,7 @@
         connection.stage = Stage::Reading;
         connection.since = Instant::now();
         if connection.close {
-            return self.drop_connection(at);
+            self.drop_connection(at);
         }
     }
 }
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -34,8 +34,13 @@
 const STATE_THREADS: usize = 8;
 const CLOUD_THREADS: usize = 3;
 const WORKER_THREADS: usize = 16;
-/// Threads for calls that ask workers whether they are there: those wait for the ones that are not.
+/// Threads for calls that ask workers whether they are there: those wait for the ones that are not,
+/// and of a large fleet a hundred may be silent at once.
 const PROBE_THREADS: usize = 8;
+/// Nodes of large fleets have more sockets: one more thread of each kind for so many, up to a bound
+/// far below what a process may have.
+const SOCKETS_PER_THREAD: usize = 100;
+const MOST_THREADS: usize = 64;
 /// Pause between watches, so that a busy time does not use up the state service's limit.
 const WATCH_PAUSE: Duration = Duration::from_millis(25);
 /// Stack of a thread.
@@ -174,7 +179,7 @@
     let now = clock.now();
     for output in core.step(input, now) {
         if let Some(answer) = wires.send(output, now.time) {
-            log::warn!("a call was not made: too many wait");
+            log::debug!("a call was not made: too many wait");
             not_made.push(answer);
         }
     }
@@ -258,8 +263,10 @@
     let state = start_state(settings.services.state, clock, core)?;
     let watch = start_watch(settings.services.state, core)?;
     let cloud = start_cloud(settings.services.cloud, core)?;
-    let workers = start_workers(core, WORKER_THREADS)?;
-    let probes = start_workers(core, PROBE_THREADS)?;
+    let sockets = (settings.params.limits.as_ref()).map_or(0, |l| l.fd_limit as usize);
+    let by_need = |least: usize| (sockets / SOCKETS_PER_THREAD).clamp(least, MOST_THREADS);
+    let workers = start_workers(core, by_need(WORKER_THREADS))?;
+    let probes = start_workers(core, by_need(PROBE_THREADS))?;
     let mut peers = BTreeMap::new();
     for peer in &settings.peers {
         let wires = PeerWires {
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -188,7 +188,13 @@
                 Some(last) if now.time - last > silence && heard => {
                     machine.retire.get_or_insert("silent");
                 }
-                Some(last) if machine.unanswered >= PROBES && heard && now.time - last > late => {
+                // A leader that reaches nobody concludes nothing from that.
+                Some(last)
+                    if machine.unanswered >= PROBES
+                        && heard
+                        && reaches
+                        && now.time - last > late =>
+                {
                     machine.retire.get_or_insert("does not answer");
                 }
                 // It is heard, but nothing reaches it: it can't be commanded, and what it runs
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -84,6 +84,8 @@
 const BOOKS: Span = Span(100);
 /// A leader that no worker reaches for so long, while workers reach others, steps down.
 const CUT_OFF: Span = Span(5_000);
+/// A call that could not be made is tried again after so long.
+const NOT_CALLED: Span = Span(300);
 
 impl Core {
     /// A node that has just started.
@@ -451,8 +453,14 @@
                 }
                 lead.reacted(&report, now);
             }
-            DirectOutcome::NotCalled => {}
+            DirectOutcome::NotCalled => {
+                // Too many wait already: it is tried again, but not at once.
+                if let Some(machine) = lead.machines.get_mut(&id) {
+                    machine.direct_after = now.time + NOT_CALLED;
+                }
+            }
             _ => {
+                lead.unanswered += 1;
                 if let Some(machine) = lead.machines.get_mut(&id) {
                     machine.did_not_react(now.time);
                     let wait = 100 << machine.unanswered.min(5);
@@ -530,7 +538,10 @@
             return;
         };
         let silence = |t: Time| now.time - t > CUT_OFF;
-        let mine = silence(lead.since) && self.last_report.is_none_or(silence);
+        // In a large fleet, hardly any worker may have been sent here: then calls must fail, too.
+        let unreached =
+            !self.is_spread(lead.machines.len() as u32) || lead.reaches_nobody(now.time);
+        let mine = silence(lead.since) && self.last_report.is_none_or(silence) && unreached;
         let reached = self.peers.values().any(|p| {
             now.time < p.heard + Span(1_500) && p.worker_silence < Span(2_000) && p.state_ok
         });
@@ -576,8 +587,9 @@
             state_ok: self.election.state_ok(now.time),
             asks_word: self.lead.is_some() || self.election.would_care(now.time),
             machines: self.lead.as_ref().map_or(0, Lead::fleet_size),
-            workers: self.relay.workers(now.time),
+            workers: self.relay.workers(now.time, self.report_interval()),
             passes: self.lead.is_some() || self.near_leader(now.time).is_some(),
+            worker_silence_ms: self.worker_silence(now.time).0,
             counts,
         }));
         self.note_fence(now.time);
@@ -595,7 +607,8 @@
     }
 
     fn heartbeat(&mut self, req: ReqId, beat: Heartbeat, now: Now) {
-        self.note_peer(&beat.from, beat.state_ok, None, now.time);
+        let silence = Span(beat.worker_silence_ms);
+        self.note_peer(&beat.from, beat.state_ok, silence, now.time);
         self.note_load(&beat);
         if beat.leads && beat.epoch >= self.election.epoch {
             self.election.hear_leader(now.time);
@@ -609,20 +622,19 @@
             }
         }
         self.check_epoch(beat.epoch);
-        let silence = self.last_report.map_or(Span(u64::MAX), |t| now.time - t);
         let reply = HeartbeatReply {
             from: self.settings.node.to_string(),
             epoch: self.election.epoch,
             state_ok: self.election.state_ok(now.time),
             word,
-            worker_silence_ms: silence.0,
+            worker_silence_ms: self.worker_silence(now.time).0,
         };
         self.out.push(Output::AnswerHeartbeat(req, reply));
     }
 
     fn heartbeat_reply(&mut self, sent: Time, reply: HeartbeatReply, now: Now) {
         let silence = Span(reply.worker_silence_ms);
-        self.note_peer(&reply.from, reply.state_ok, Some(silence), now.time);
+        self.note_peer(&reply.from, reply.state_ok, silence, now.time);
         self.election.hear_epoch(reply.epoch, now.time);
         self.check_epoch(reply.epoch);
         let name = NodeName::from(reply.from.as_str());
@@ -677,13 +689,16 @@
         }
     }
 
-    fn note_peer(&mut self, name: &str, state_ok: bool, silence: Option<Span>, now: Time) {
+    /// How long no worker has reported here.
+    fn worker_silence(&self, now: Time) -> Span {
+        self.last_report.map_or(Span(u64::MAX), |t| now - t)
+    }
+
+    fn note_peer(&mut self, name: &str, state_ok: bool, silence: Span, now: Time) {
         if let Some(peer) = self.peers.get_mut(&NodeName::from(name)) {
             peer.heard = now;
             peer.state_ok = state_ok;
-            if let Some(silence) = silence {
-                peer.worker_silence = silence;
-            }
+            peer.worker_silence = silence;
         }
     }
 
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -102,8 +102,9 @@
     /// Direct calls that may be made now, and when that was counted.
     pub calls_left: f64,
     calls_at: Time,
-    /// When any worker last answered a direct call.
+    /// When any worker last answered a direct call, and how many have not since.
     pub last_reaction: Time,
+    pub(crate) unanswered: u32,
     /// Tells starts apart.
     attempts: u64,
 }
@@ -119,6 +120,12 @@
 /// Direct calls a second. They make a start sooner than the next report would; each costs a
 /// connection, so in a rush what can wait is told when it reports.
 const DIRECT_RATE: f64 = 50.0;
+/// And one more for so many machines: a zone that comes back has hundreds of starts waiting, and
+/// workers of a large fleet report less often.
+const DIRECT_PER: f64 = 10.0;
+/// So many calls in a row without an answer, over so long, show that no worker can be reached.
+const UNREACHED_CALLS: u32 = 3;
+const UNREACHED: Span = Span(3_000);
 /// How far back arrivals are looked at.
 pub(crate) const LATELY: Span = Span(120_000);
 
@@ -187,6 +194,7 @@
             calls_left: DIRECT_RATE,
             calls_at: now,
             last_reaction: now,
+            unanswered: 0,
             attempts: 0,
         }
     }
@@ -332,6 +340,7 @@
     /// A worker has answered a direct call.
     pub fn reacted(&mut self, report: &Report, now: Now) {
         self.last_reaction = now.time;
+        self.unanswered = 0;
         self.hear(report, now);
         if let Some(machine) = self.machines.get_mut(&report.machine) {
             machine.reacted();
@@ -340,12 +349,18 @@
 
     /// Whether another direct call may be made now.
     pub fn may_call(&mut self, now: Time) -> bool {
-        let more = (now - self.calls_at).as_secs() * DIRECT_RATE;
-        self.calls_left = (self.calls_left + more).min(DIRECT_RATE);
+        let rate = DIRECT_RATE + self.machines.len() as f64 / DIRECT_PER;
+        let more = (now - self.calls_at).as_secs() * rate;
+        self.calls_left = (self.calls_left + more).min(rate);
         self.calls_at = now;
         self.calls_left >= 1.0
     }
 
+    /// Whether no worker has answered a direct call for a while, although several were called.
+    pub fn reaches_nobody(&self, now: Time) -> bool {
+        self.unanswered >= UNREACHED_CALLS && now - self.last_reaction > UNREACHED
+    }
+
     /// Whether a machine waits for the start of work that can't wait.
     pub fn is_urgent(&self, machine: &Machine) -> bool {
         let firm = |e: &&Entry| e.spec.as_ref().is_some_and(|s| is_firm(s));
--- a/crates/core/src/reads.rs
+++ b/crates/core/src/reads.rs
@@ -407,6 +407,7 @@
 
     /// Refuses at once and says when to come back.
     pub(crate) fn refuse(&mut self, req: ReqId, why: &str) {
+        log::debug!("refused: {why}");
         self.out.push(Output::Answer {
             req,
             status: 503,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -8,7 +8,7 @@
 //!
 //! If the leader says nothing, workers get 503 at once and try another node.
 
-use crate::core::Core;
+use crate::core::{Core, PeerView};
 use crate::directory::Directory;
 use crate::io::{json, CallId, Output, ReqId};
 use crate::lead::Lead;
@@ -23,8 +23,16 @@
 /// Batches that may be on their way at once, and reports that may wait.
 const OPEN: usize = 3;
 const MOST: usize = 1_000;
-/// A worker that was not heard for so long reports elsewhere.
-const LEFT: Span = Span(8_000);
+/// A worker that has missed a report, with so much to spare, reports elsewhere; but not before the
+/// least.
+const LEFT_SPARE: Span = Span(2_000);
+const LEFT_LEAST: Span = Span(8_000);
+/// A node with workers that none of them has reached for so long is perhaps cut off from them; with
+/// few workers, for so many times the usual pause between their reports.
+const UNREACHED: Span = Span(1_500);
+const PAUSES: u64 = 5;
+/// To a node that no worker reaches one is sent on trial, so often.
+const TRIAL: Span = Span(1_000);
 /// A report weighs so much more at the leader, which has other things to do.
 const LEADER_WEIGHT: u32 = 3;
 /// How uneven the nodes' loads may be.
@@ -52,15 +60,27 @@
     workers: BTreeMap<MachineId, Time>,
     /// Workers sent to each peer since it last said how many it has.
     pub sent: BTreeMap<NodeName, u32>,
+    /// When a worker was last sent to a peer that none reached.
+    trials: BTreeMap<NodeName, Time>,
 }
 
 impl Relay {
     /// How many workers report here.
-    pub fn workers(&mut self, now: Time) -> u32 {
-        self.workers.retain(|_, heard| now - *heard < LEFT);
+    pub fn workers(&mut self, now: Time, report: Span) -> u32 {
+        let left = LEFT_LEAST.max(Span(report.0 * 5 / 4) + LEFT_SPARE);
+        self.workers.retain(|_, heard| now - *heard < left);
         self.workers.len() as u32
     }
 
+    /// Whether a worker may be sent to a peer: if none reaches it, only one now and then, to see
+    /// whether it can be reached again. A leader that was cut off from workers looked idle to the
+    /// others, and they sent it all of theirs, again and again, until their leases ran out.
+    fn may_send(&self, name: &NodeName, peer: &PeerView, report: Span, now: Time) -> bool {
+        let pause = PAUSES * report.0 / u64::from(peer.workers.max(1));
+        let reached = peer.workers > 0 && peer.worker_silence < UNREACHED.max(Span(pause));
+        reached || self.trials.get(name).is_none_or(|t| now - *t > TRIAL)
+    }
+
     fn shortened(&self, held: &Held) -> PassedReport {
         let report = &held.report;
         let as_in = (self.taken.get(&report.machine))
@@ -114,7 +134,11 @@
         None
     }
 
-    fn is_spread(&self, machines: u32) -> bool {
+    pub(crate) fn report_interval(&self) -> Span {
+        Span::secs(self.settings.params.workers.report_s)
+    }
+
+    pub(crate) fn is_spread(&self, machines: u32) -> bool {
         f64::from(machines) > self.admin_settings.settings.spread_reports_from
     }
 
@@ -128,7 +152,8 @@
     /// A node that a worker should rather report to, since it has far fewer of them.
     pub(crate) fn lighter(&mut self, machine: &MachineId, now: Time) -> Option<NodeName> {
         let known = self.relay.workers.contains_key(machine);
-        let mine = self.relay.workers(now) + u32::from(!known);
+        let report = self.report_interval();
+        let mine = self.relay.workers(now, report) + u32::from(!known);
         let mine = mine
             * if self.lead.is_some() {
                 LEADER_WEIGHT
@@ -137,6 +162,7 @@
             };
         let (load, peer) = (self.peers.iter())
             .filter(|(_, p)| now < p.heard + Span(1_500) && p.passes)
+            .filter(|(name, p)| self.relay.may_send(name, p, report, now))
             .map(|(name, p)| {
                 let weight = if p.leads { LEADER_WEIGHT } else { 1 };
                 let sent = self.relay.sent.get(name).copied().unwrap_or(0);
@@ -149,6 +175,7 @@
             return None;
         }
         let peer = peer.clone();
+        self.relay.trials.insert(peer.clone(), now);
         *self.relay.sent.entry(peer.clone()).or_default() += 1;
         self.relay.workers.remove(machine);
         Some(peer)
@@ -259,7 +286,6 @@
         if !lead.may_answer(now.time, state_ok, majority) {
             return self.out.push(Output::AnswerReports(req, none));
         }
-        self.last_report = Some(now.time);
         let answers = (passed.reports.into_iter())
             .map(|report| lead.take_passed(report, &self.directory, now))
             .collect();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -22,6 +22,8 @@
     pub workers: u32,
     /// Whether the sender hears the leader, so that it can pass workers' reports on.
     pub passes: bool,
+    /// Milliseconds since a worker last reported to the sender, whatever it was answered.
+    pub worker_silence_ms: u64,
     /// The leader's counts of tasks, for display, now and then.
     pub counts: Option<Vec<Count>>,
 }
