A zone behind a cut is left alone; losses found in groups, also after a take-over

After a take-over machines that the new leader had never heard were given up only with their leases (31 s). A hang of many was found machine by machine. Now a zone of which nothing is heard is taken for cut off; machines that hold what can't wait are asked as soon as another is found silent; a new leader asks unheard machines by the address in the list.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -67,13 +67,6 @@
 /// a bound.
 const REFUSED: Span = Span(4_000);
 const REFUSED_MOST: u32 = 3;
-/// A machine is given up when its worker has left so many probes unanswered.
-const PROBES: u32 = 2;
-/// A machine that is heard is given up when its worker has left so many calls unanswered, for half
-/// a lease.
-const DEAF: u32 = 3;
-/// If nobody has answered a direct call for so long, it is not known whether any would.
-const CONTROL: Span = Span(2_000);
 /// Idle machines are returned together, so often.
 const RETURNS: Span = Span(2_000);
 /// Why idle machines are returned.
@@ -165,51 +158,19 @@
         let boots: BTreeMap<TypeName, Span> = (self.catalog.types.iter())
             .map(|t| (t.name.clone(), Span::secs(t.boot_s * 4.0 + 30.0)))
             .collect();
-        let (lease, fence) = (self.lease, self.fence);
-        let (led, silence, heard) = (now.time - self.since, self.silence(), self.hears(now.time));
         let (spare_only, keep) = (self.spare_only(), self.keep_idle);
-        let late = Span(self.report.0 * 5 / 4 + 500);
-        let reaches = now.time - self.last_reaction < CONTROL;
-        let deaf_for = |m: &Machine| m.deaf_since.map_or(Span(0), |t| now.time - t);
+        let lost = self.lost(now.time);
+        let (led, lease) = (now.time - self.since, self.lease);
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
             let age = Lead::age(machine, now.wall);
-            let boot = boots
-                .get(&machine.machine_type)
-                .copied()
-                .unwrap_or(Span(180_000));
-            match machine.last_heard {
-                // This leader may not have been told yet that a machine of an earlier one is up.
-                None if age > boot && led > Span(lease.0 * 2) => {
-                    machine.retire.get_or_insert("never came up");
-                }
-                // Returning a machine is the fastest proof that what was on it is gone. If most
-                // are silent, it is rather this node that is cut off.
-                Some(last) if now.time - last > silence && heard => {
-                    machine.retire.get_or_insert("silent");
-                }
-                // A leader that reaches nobody concludes nothing from that.
-                Some(last)
-                    if machine.unanswered >= PROBES
-                        && heard
-                        && reaches
-                        && now.time - last > late =>
-                {
-                    machine.retire.get_or_insert("does not answer");
-                }
-                // It is heard, but nothing reaches it: it can't be commanded, and what it runs
-                // can't be stopped. A leader that reaches nobody must not conclude this.
-                Some(_)
-                    if machine.unanswered >= DEAF
-                        && reaches
-                        && deaf_for(machine) > Span(lease.0 / 2) =>
-                {
-                    machine.retire.get_or_insert("does not hear");
-                }
-                Some(_) if machine.lease_surely_over(now.time, Span(lease.0 * 2), fence) => {
-                    machine.retire.get_or_insert("silent for long");
-                }
-                _ => {}
+            let boot = (boots.get(&machine.machine_type).copied()).unwrap_or(Span(180_000));
+            if let Some(why) = lost.get(&machine.id) {
+                machine.retire.get_or_insert(why);
+            }
+            // This leader may not have been told yet that a machine of an earlier one is up.
+            if machine.last_heard.is_none() && age > boot && led > Span(lease.0 * 2) {
+                machine.retire.get_or_insert("never came up");
             }
             let idle = machine.entries.is_empty() || spare_only.contains(&machine.id);
             if !idle {
@@ -293,49 +254,6 @@
         }
     }
 
-    /// A machine that was not heard for so long has missed several reports.
-    fn silence(&self) -> Span {
-        Span((self.report.0 * 3).min(self.lease.0 * 3 / 4) + 1_000)
-    }
-
-    /// Whether most machines that were ever heard were heard lately, and some this moment: if not,
-    /// it is rather this node that is cut off.
-    fn hears(&self, now: Time) -> bool {
-        let up: Vec<Time> = (self.machines.values())
-            .filter_map(|m| m.last_heard)
-            .collect();
-        let heard = |within: u64| up.iter().filter(|&&t| now - t < Span(within)).count();
-        heard(self.report.0 * 3 / 2 + 500) * 3 >= up.len() * 2
-            && heard(self.report.0 / 2 + 100) * 5 >= up.len()
-    }
-
-    /// Machines whose workers have missed a report, or left a call unanswered: they are probed. If
-    /// nobody has answered a call for a while, some that were heard are called too: it may be this
-    /// node that reaches nobody.
-    pub fn overdue(&self, now: Time) -> Vec<MachineId> {
-        let late = Span(self.report.0 * 5 / 4 + 500);
-        let callable = |m: &&Machine| {
-            m.last_heard.is_some()
-                && m.returning.is_none()
-                && !m.direct_open
-                && m.direct_after <= now
-        };
-        let doubtful =
-            |m: &&Machine| m.unanswered > 0 || m.last_heard.is_some_and(|t| now - t > late);
-        let mut found: Vec<MachineId> = (self.machines.values())
-            .filter(|m| callable(m) && doubtful(m))
-            .map(|m| m.id.clone())
-            .collect();
-        if !found.is_empty() && now - self.last_reaction > CONTROL {
-            let sure = self
-                .machines
-                .values()
-                .filter(|m| callable(m) && !doubtful(m));
-            found.extend(sure.take(3).map(|m| m.id.clone()));
-        }
-        found
-    }
-
     /// Takes in a page of the machine list, which may be older than what is known.
     fn learn_list(&mut self, listed: &[ListedMachine], now: Now) {
         for found in listed {
@@ -353,6 +271,9 @@
                 Machine::new(found.id.clone(), t, z, found.spot, room, since)
             });
             machine.listed = true;
+            if machine.addr.is_none() {
+                machine.addr = found.addr.clone();
+            }
             if found.state == ListedState::Failed {
                 machine.retire.get_or_insert("failed");
             }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -236,6 +236,7 @@
         self.lead = Some(lead);
         self.cloud.clear();
         self.cloud.next_catalog = now.time;
+        self.cloud.next_list = now.time;
         self.next_beat = now.time;
         self.read_back();
     }
@@ -460,12 +461,7 @@
                 }
             }
             _ => {
-                lead.unanswered += 1;
-                if let Some(machine) = lead.machines.get_mut(&id) {
-                    machine.did_not_react(now.time);
-                    let wait = 100 << machine.unanswered.min(5);
-                    machine.direct_after = now.time + Span(wait);
-                }
+                lead.did_not_answer(&id, now.time);
             }
         }
     }
@@ -486,6 +482,7 @@
         if lead.ready && now.time >= self.next_books {
             // Looking through a large fleet takes longer, so it is done less often.
             self.next_books = now.time + Span(BOOKS.0 + lead.machines.len() as u64 / 5);
+            lead.find_dark_zones(now.time);
             lead.end_cancelled(now);
             lead.drain(now.time);
             lead.empty_retired(now.time);
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -15,6 +15,8 @@
 /// its size. Users take a job that does not begin within four minutes for not served; room for a
 /// large one takes a while to come free.
 const PATIENCE: Span = Span(80_000);
+/// A machine that still holds a cancelled job's task is returned so long before that must be gone.
+const AT_LAST: Span = Span(8_000);
 
 impl Lead {
     /// Takes in a job's record.
@@ -78,8 +80,14 @@
             for (machine, attempt) in job.places.values().flatten().cloned().collect::<Vec<_>>() {
                 self.stop_on(&machine, &id, attempt, 0.0, "cancelled", now.time);
                 let limits = (self.cancel, self.report);
+                let (lease, fence, dark) = (self.lease, self.fence, &self.dark);
                 if let Some(m) = self.machines.get_mut(&machine) {
-                    if must_return(m, past, led, limits, now.time) {
+                    // Behind a cut its lease ends it, if that is soon enough; the machine holds
+                    // much else.
+                    let left = Span((self.cancel.0).saturating_sub(past.0 + AT_LAST.0));
+                    let ends = dark.contains(&m.zone)
+                        && m.lease_surely_over(now.time + left, lease, fence);
+                    if !ends && must_return(m, past, led, limits, now.time) {
                         m.retire.get_or_insert("holds a cancelled job");
                     }
                 }
@@ -353,7 +361,7 @@
     // Heard is not commanded: one that leaves calls unanswered may never get the stop.
     let silent = silent || m.unanswered > 1;
     let in_good_time = past > Span(cancel.0 / 2) && led > Span(report.0 * 3) && silent;
-    let at_last = past + Span(8_000) > cancel && led > Span(report.0 * 2);
+    let at_last = past + AT_LAST > cancel && led > Span(report.0 * 2);
     in_good_time || at_last
 }
 
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -14,7 +14,7 @@
 use rudderreel_wire::cloud::{Catalog, MachineType};
 use rudderreel_wire::ids::{
     Attempt, Class, Epoch, Image, JobId, LeaseId, MachineId, NodeName, Session, TaskId, TypeName,
-    Version,
+    Version, Zone,
 };
 use rudderreel_wire::job::{JobSpec, Kind};
 use rudderreel_wire::settings::Settings;
@@ -105,6 +105,10 @@
     /// When any worker last answered a direct call, and how many have not since.
     pub last_reaction: Time,
     pub(crate) unanswered: u32,
+    /// Zones that are cut off.
+    pub dark: BTreeSet<Zone>,
+    /// Until when machines are in doubt that have not missed a report yet.
+    pub(crate) suspicion: Time,
     /// Tells starts apart.
     attempts: u64,
 }
@@ -195,6 +199,8 @@
             calls_at: now,
             last_reaction: now,
             unanswered: 0,
+            dark: BTreeSet::new(),
+            suspicion: now,
             attempts: 0,
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod records;
 mod recovery;
 mod relay;
+mod silence;
 mod snapshot;
 mod state_calls;
 mod statement;
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -247,6 +247,12 @@
         }
     }
 
+    /// Whether it may hold work that can't wait.
+    pub fn holds_firm(&self) -> bool {
+        let firm = |e: &Entry| e.spec.as_ref().is_some_and(|s| crate::job::is_firm(s));
+        self.entries.iter().any(|e| e.holds_room() && firm(e))
+    }
+
     /// What is free: nothing that may still be there is counted as free.
     pub fn free(&self) -> Resources {
         let mut free = self.room;
