Zones that come back get time to report; room for replicas is ranked once a job

Cause, from the log of a cut of 20 s: machines not heard yet when their zone came back were returned as silent (86), machines were rented behind the cut, and a third of a fleet's replicas found room by preemption at 24 to 40 a cycle, each task ranking all machines anew.

--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -5,7 +5,7 @@
 use crate::clients::{self, Watched};
 use crate::front::{self, Open, ToCore};
 use crossbeam_channel::{bounded, select, Receiver, Sender};
-use rudderreel_core::units::{Now, Time, Wall};
+use rudderreel_core::units::{Now, Span, Time, Wall};
 use rudderreel_core::{
     CallId, CloudAnswer, CloudCall, Core, DirectOutcome, Input, Output, ReqId, StateAnswer,
     StateCall,
@@ -43,6 +43,8 @@
 const MOST_THREADS: usize = 64;
 /// Pause between watches, so that a busy time does not use up the state service's limit.
 const WATCH_PAUSE: Duration = Duration::from_millis(25);
+/// A step of the core that takes longer is logged, for debugging.
+const SLOW: Span = Span(40);
 /// Stack of a thread.
 const STACK: usize = 128 * 1024;
 
@@ -177,7 +179,15 @@
 
 fn take(core: &mut Core, input: Input, wires: &Wires, clock: Clock, not_made: &mut Vec<Input>) {
     let now = clock.now();
-    for output in core.step(input, now) {
+    let what = log::log_enabled!(log::Level::Debug).then(|| std::mem::discriminant(&input));
+    let outputs = core.step(input, now);
+    if let Some(what) = what {
+        let took = clock.time() - now.time;
+        if took > SLOW {
+            log::debug!("a step took {} ms: {what:?}", took.0);
+        }
+    }
+    for output in outputs {
         if let Some(answer) = wires.send(output, now.time) {
             log::debug!("a call was not made: too many wait");
             not_made.push(answer);
--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -15,7 +15,7 @@
 use crate::units::{Resources, Span};
 use rudderreel_wire::ids::{Attempt, MachineId, TaskId, Team};
 use rudderreel_wire::job::Kind;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A task to be stopped.
 #[derive(Clone, Debug)]
@@ -104,8 +104,9 @@
 
 /// What starting again costs a task, besides the work that is lost.
 const RESTART: Span = Span(10_000);
-/// How many jobs a cycle looks at, and how many tasks of each.
-const DEPTH: usize = 8;
+/// How many jobs a cycle looks at, and how many tasks of each: enough that a zone's replicas find
+/// room within seconds, and few enough that a cycle stays short. What is left waits for the next.
+const DEPTH: usize = 24;
 const TASKS: usize = 8;
 
 fn evict_for(
@@ -121,12 +122,22 @@
             continue;
         }
         let taken = picture.taken(&job.spec.id);
+        let mut ranked: Option<VecDeque<usize>> = None;
         for index in job.next_free(taken + TASKS).into_iter().skip(taken) {
             let fits = picture.within_limits(lead, job, &amounts(&job.need))
                 && fit::best(lead, picture, job, true).is_none();
-            let found = fits
-                .then(|| cheapest(lead, picture, job, spare, may))
-                .flatten();
+            if !fits {
+                break;
+            }
+            // The tasks of a job are alike: the machines are ranked once for all.
+            let ranked = ranked.get_or_insert_with(|| cheapest(lead, picture, job, spare, may));
+            let mut found = None;
+            while let (None, Some(at)) = (&found, ranked.pop_front()) {
+                if fit::suits(lead, picture, job, &picture.spots[at]) {
+                    let victims = victims_on(lead, picture, job, at, spare, may);
+                    found = victims.map(|v| (at, v));
+                }
+            }
             let Some((at, victims)) = found else {
                 break;
             };
@@ -146,32 +157,27 @@
     }
 }
 
-/// The machine where making room loses the least: among those that have the image, if it matters.
-fn cheapest(
-    lead: &Lead,
-    picture: &Snapshot,
-    job: &Job,
-    spare: Span,
-    may: Rule,
-) -> Option<(usize, Vec<Victim>)> {
+/// Machines where room can be made for a task, the one where that loses the least first: among those
+/// that have the image, if it matters.
+fn cheapest(lead: &Lead, picture: &Snapshot, job: &Job, spare: Span, may: Rule) -> VecDeque<usize> {
     let picky = lead.is_picky(job);
     let anywhere = fit::best(lead, picture, job, false).is_none();
     let image = picture.image(&job.spec.image);
     let cold = |i: usize| !image.is_some_and(|no| picture.spots[i].images.contains(&no));
-    (0..picture.spots.len())
+    let mut found: Vec<(bool, u64, usize)> = (0..picture.spots.len())
         .filter(|&i| {
             let spot = &picture.spots[i];
             (spot.free + spot.evictable).holds(&job.need)
         })
         .filter(|&i| fit::suits(lead, picture, job, &picture.spots[i]))
         .filter(|&i| anywhere || !picky || !cold(i))
-        .filter_map(|i| victims_on(lead, picture, job, i, spare, may).map(|v| (i, v)))
-        .min_by_key(|(i, victims)| {
-            (
-                picky && cold(*i),
-                victims.iter().map(|v| v.loss).sum::<u64>(),
-            )
+        .filter_map(|i| {
+            let victims = victims_on(lead, picture, job, i, spare, may)?;
+            Some((picky && cold(i), victims.iter().map(|v| v.loss).sum(), i))
         })
+        .collect();
+    found.sort_unstable();
+    found.into_iter().map(|(.., i)| i).collect()
 }
 
 fn victims_on(
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -397,7 +397,9 @@
                 continue;
             }
             for offer in offers(machine_type) {
+                // What comes up behind a cut can't report.
                 let open = self.rentals.is_open(&offer, now)
+                    && !self.dark.contains(&offer.zone)
                     && allowed(&job.spec, &offer.machine_type, &offer.zone, offer.spot);
                 if let (true, Some(price)) = (open, price(machine_type, offer.spot)) {
                     found.push((price / f64::from(each), offer));
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -107,6 +107,8 @@
     pub(crate) unanswered: u32,
     /// Zones that are cut off.
     pub dark: BTreeSet<Zone>,
+    /// Since when zones that were cut off no longer are.
+    pub(crate) lit: BTreeMap<Zone, Time>,
     /// Until when machines are in doubt that have not missed a report yet.
     pub(crate) suspicion: Time,
     /// Tells starts apart.
@@ -200,6 +202,7 @@
             last_reaction: now,
             unanswered: 0,
             dark: BTreeSet::new(),
+            lit: BTreeMap::new(),
             suspicion: now,
             attempts: 0,
         }
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -85,13 +85,12 @@
         } else {
             dark
         };
-        for zone in dark.symmetric_difference(&self.dark) {
-            let is = if dark.contains(zone) {
-                "is"
-            } else {
-                "is no longer"
-            };
-            log::info!("zone {zone} {is} cut off");
+        for zone in dark.difference(&self.dark) {
+            log::info!("zone {zone} is cut off");
+        }
+        for zone in self.dark.difference(&dark) {
+            log::info!("zone {zone} is no longer cut off");
+            self.lit.insert(zone.clone(), now);
         }
         self.dark = dark;
     }
@@ -106,9 +105,15 @@
             .collect()
     }
 
+    /// When a machine was last heard. After a cut its reports count as late only from then on.
+    fn heard(&self, m: &Machine) -> Option<Time> {
+        let lit = self.lit.get(&m.zone).copied();
+        m.last_heard.map(|t| lit.map_or(t, |lit| lit.max(t)))
+    }
+
     fn why_lost(&self, m: &Machine, hears: bool, reaches: bool, now: Time) -> Option<&'static str> {
         let deaf_for = m.deaf_since.map_or(Span(0), |t| now - t);
-        let Some(last) = m.last_heard else {
+        let Some(last) = self.heard(m) else {
             // What an earlier leader had it run may be gone with it: it is asked by the address
             // that the cloud lists.
             let asked = m.unanswered > PROBES && deaf_for > UNANSWERED;
@@ -145,7 +150,7 @@
                 && !self.dark.contains(&m.zone)
         };
         let suspicious = now < self.suspicion;
-        let doubtful = |m: &&Machine| match m.last_heard {
+        let doubtful = |m: &&Machine| match self.heard(m) {
             Some(last) => {
                 let just_now = suspicious && now - last > JUST_NOW && m.holds_firm();
                 m.unanswered > 0 || now - last > late || just_now
@@ -177,7 +182,8 @@
         machine.did_not_react(now);
         let wait = 100 << machine.unanswered.min(5);
         machine.direct_after = now + Span(wait);
-        if machine.last_heard.is_some_and(|t| now - t > late) {
+        let missed = machine.last_heard.is_some_and(|t| now - t > late);
+        if missed && !self.dark.contains(&machine.zone) {
             self.suspicion = now + SUSPICION;
         }
     }
