What a leader knows of a cut zone is passed on; its replicas move once leases are over

Heartbeats now name cut zones and since when; a leader that takes over returns the machines whose replicas may run elsewhere as soon as their leases must be over. A return is the proof, the heartbeat only tells when it is worth it. A cut zone stays one until something is heard of it.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -16,7 +16,7 @@
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::admin::{AdminSettings, Versioned};
 use rudderreel_wire::cloud::Catalog;
-use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version};
+use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version, Zone};
 use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::state::{Event, Page};
@@ -65,6 +65,8 @@
     pub(crate) relay: Relay,
     /// Machines that the leader said it knows.
     pub(crate) leader_machines: u32,
+    /// Zones that the leader said are cut off, and since when.
+    leader_dark: BTreeMap<Zone, Time>,
     pub(crate) peers: BTreeMap<NodeName, PeerView>,
     counts: BTreeMap<JobId, (u32, u32)>,
     filling: bool,
@@ -115,6 +117,7 @@
             lead: None,
             relay: Relay::default(),
             leader_machines: 0,
+            leader_dark: BTreeMap::new(),
             peers,
             counts: BTreeMap::new(),
             filling: false,
@@ -230,6 +233,7 @@
         let tree = self.tree.clone();
         let mut lead = Lead::new(&self.settings, tree, epoch, lease, sent, version, now.time);
         lead.take_up(self.tree.clone(), &self.admin_settings.settings);
+        lead.dark_before = std::mem::take(&mut self.leader_dark);
         if let Some(catalog) = &self.catalog {
             lead.learn_catalog(catalog.clone());
         }
@@ -587,6 +591,9 @@
             workers: self.relay.workers(now.time, self.report_interval()),
             passes: self.lead.is_some() || self.near_leader(now.time).is_some(),
             worker_silence_ms: self.worker_silence(now.time).0,
+            dark: (self.lead.iter().flat_map(|l| &l.dark))
+                .map(|(zone, since)| (zone.to_string(), (now.time - *since).0))
+                .collect(),
             counts,
         }));
         self.note_fence(now.time);
@@ -614,6 +621,14 @@
         self.election.hear_epoch(beat.epoch, now.time);
         if beat.leads && beat.epoch >= self.election.epoch {
             self.leader_machines = beat.machines;
+            self.leader_dark = (beat.dark.iter())
+                .map(|(zone, ms)| {
+                    (
+                        Zone::from(zone.as_str()),
+                        Time(now.time.0.saturating_sub(*ms)),
+                    )
+                })
+                .collect();
             if let Some(counts) = &beat.counts {
                 self.learn_counts(counts);
             }
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -85,7 +85,7 @@
                     // Behind a cut its lease ends it, if that is soon enough; the machine holds
                     // much else.
                     let left = Span((self.cancel.0).saturating_sub(past.0 + AT_LAST.0));
-                    let ends = dark.contains(&m.zone)
+                    let ends = dark.contains_key(&m.zone)
                         && m.lease_surely_over(now.time + left, lease, fence);
                     if !ends && must_return(m, past, led, limits, now.time) {
                         m.retire.get_or_insert("holds a cancelled job");
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -343,7 +343,8 @@
         }
     }
 
-    fn zones(&self) -> Vec<Zone> {
+    /// All zones of the catalog.
+    pub(crate) fn zones(&self) -> Vec<Zone> {
         let mut zones: Vec<Zone> = (self.catalog.types.iter())
             .flat_map(|t| t.zones.iter().cloned())
             .collect();
@@ -399,7 +400,7 @@
             for offer in offers(machine_type) {
                 // What comes up behind a cut can't report.
                 let open = self.rentals.is_open(&offer, now)
-                    && !self.dark.contains(&offer.zone)
+                    && !self.dark.contains_key(&offer.zone)
                     && allowed(&job.spec, &offer.machine_type, &offer.zone, offer.spot);
                 if let (true, Some(price)) = (open, price(machine_type, offer.spot)) {
                     found.push((price / f64::from(each), offer));
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -105,8 +105,10 @@
     /// When any worker last answered a direct call, and how many have not since.
     pub last_reaction: Time,
     pub(crate) unanswered: u32,
-    /// Zones that are cut off.
-    pub dark: BTreeSet<Zone>,
+    /// Zones that are cut off, and since when nothing was heard of them, as far as is known: a
+    /// leader before this one may have noticed.
+    pub dark: BTreeMap<Zone, Time>,
+    pub(crate) dark_before: BTreeMap<Zone, Time>,
     /// Since when zones that were cut off no longer are.
     pub(crate) lit: BTreeMap<Zone, Time>,
     /// Until when machines are in doubt that have not missed a report yet.
@@ -201,7 +203,8 @@
             calls_at: now,
             last_reaction: now,
             unanswered: 0,
-            dark: BTreeSet::new(),
+            dark: BTreeMap::new(),
+            dark_before: BTreeMap::new(),
             lit: BTreeMap::new(),
             suspicion: now,
             attempts: 0,
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -5,11 +5,12 @@
 //! this node that hears or reaches nobody, or a whole zone that is cut off: there work goes on as
 //! long as its leases last, and returning the machines would end what the cut does not.
 
+use crate::job::is_firm;
 use crate::lead::Lead;
-use crate::possession::Machine;
+use crate::possession::{Entry, Machine};
 use crate::units::{Span, Time};
 use rudderreel_wire::ids::{MachineId, Zone};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// A machine that has missed a report is given up when its worker has left so many probes
 /// unanswered.
@@ -48,7 +49,7 @@
     /// it is rather this node that is cut off. Zones that are cut off don't count.
     fn hears(&self, now: Time) -> bool {
         let up: Vec<Time> = (self.machines.values())
-            .filter(|m| !self.dark.contains(&m.zone))
+            .filter(|m| !self.dark.contains_key(&m.zone))
             .filter_map(|m| m.last_heard)
             .collect();
         let heard = |within: u64| up.iter().filter(|&&t| now - t < Span(within)).count();
@@ -58,50 +59,86 @@
 
     /// Notes which zones are cut off: of all machines there that should report none does.
     pub fn find_dark_zones(&mut self, now: Time) {
-        let mut zones: BTreeMap<&Zone, (usize, Time)> = BTreeMap::new();
-        let mut newest = self.since;
-        for m in self.machines.values() {
+        // By zone: machines that should report, all, and when one was last heard.
+        let mut zones: BTreeMap<&Zone, (usize, usize, Time)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.returning.is_none()) {
             // What an earlier leader has started tasks on was up.
-            if m.last_heard.is_none() && m.entries.is_empty() || m.returning.is_some() {
-                continue;
-            }
+            let due = m.last_heard.is_some() || !m.entries.is_empty();
             let heard = m.last_heard.unwrap_or(self.since);
-            newest = newest.max(heard);
-            let (count, last) = zones.entry(&m.zone).or_insert((0, heard));
-            *count += 1;
+            let (dues, all, last) = zones.entry(&m.zone).or_insert((0, 0, heard));
+            *dues += usize::from(due);
+            *all += 1;
             *last = heard.max(*last);
         }
-        let dark = |(count, last): &(usize, Time)| {
+        let dark = |(zone, (dues, all, last)): &(&&Zone, &(usize, usize, Time))| {
+            // One that was cut off is until some machine is heard again, also if all that was on
+            // them is gone.
+            let was = self.dark.contains_key(**zone);
+            let count = if was { all } else { dues };
             let pause = PAUSES * self.report.0 / (*count).max(1) as u64;
-            *count >= ZONE && now - *last > ZONE_SILENT.max(Span(pause))
+            (was || *count >= ZONE) && now - *last > ZONE_SILENT.max(Span(pause))
         };
-        let dark: BTreeSet<Zone> = (zones.iter())
-            .filter(|(_, zone)| dark(zone))
+        let mut dark: BTreeMap<Zone, Time> = (zones.iter().filter(dark))
+            .map(|(zone, (.., last))| ((*zone).clone(), *last))
+            .collect();
+        let heard: Vec<Zone> = (zones.iter())
+            .filter(|(zone, (.., last))| *last > self.since && !dark.contains_key(**zone))
             .map(|(zone, _)| (*zone).clone())
             .collect();
-        // If none is heard anywhere it is this node.
-        let dark = if dark.len() == zones.len() {
-            BTreeSet::new()
-        } else {
-            dark
-        };
-        for zone in dark.difference(&self.dark) {
-            log::info!("zone {zone} is cut off");
+        if dark.len() == zones.len() {
+            // If none is heard anywhere it is this node.
+            dark.clear();
         }
-        for zone in self.dark.difference(&dark) {
+        for (zone, since) in &mut dark {
+            let before = self.dark.get(zone).or(self.dark_before.get(zone));
+            *since = before.map_or(*since, |t| *t.min(since));
+            if !self.dark.contains_key(zone) {
+                log::info!("zone {zone} is cut off");
+            }
+        }
+        for zone in self.dark.keys().filter(|z| !dark.contains_key(*z)) {
             log::info!("zone {zone} is no longer cut off");
             self.lit.insert(zone.clone(), now);
         }
+        // What an earlier leader noticed is over where somebody is heard.
+        self.dark_before.retain(|zone, _| !heard.contains(zone));
         self.dark = dark;
     }
 
+    /// Whether a machine behind a cut should be returned. When the leases there have run out, the
+    /// leader that heard of it last knows that nothing runs there any more. One that took over since
+    /// can't tell for a lease more; if replicas may run elsewhere, a return is the sooner proof.
+    fn is_given_up(&self, m: &Machine, since: Time, now: Time) -> bool {
+        let lit = self
+            .zones()
+            .into_iter()
+            .filter(|z| !self.dark.contains_key(z));
+        let lit: Vec<Zone> = lit.collect();
+        let movable = |e: &Entry| {
+            e.holds_room()
+                && e.spec.as_ref().is_some_and(|s| {
+                    let zones = match &s.zone {
+                        Some(zone) => u32::from(lit.contains(zone)),
+                        None => lit.len() as u32,
+                    };
+                    is_firm(s) && zones.saturating_mul(s.zone_cap()) >= s.tasks
+                })
+        };
+        now > since + self.lease.with_drift() + Span(1_000) && m.entries.iter().any(movable)
+    }
+
     /// Machines that are surely lost or can't be commanded, and why.
     pub fn lost(&self, now: Time) -> BTreeMap<MachineId, &'static str> {
         let hears = self.hears(now);
         let reaches = now - self.last_reaction < CONTROL;
         (self.machines.values())
-            .filter(|m| !self.dark.contains(&m.zone))
-            .filter_map(|m| Some((m.id.clone(), self.why_lost(m, hears, reaches, now)?)))
+            .filter_map(|m| {
+                let why = match self.dark.get(&m.zone) {
+                    Some(since) => (self.is_given_up(m, *since, now)).then_some("behind a cut"),
+                    None => self.why_lost(m, hears, reaches, now),
+                };
+                Some((m.id.clone(), why?))
+            })
             .collect()
     }
 
@@ -147,7 +184,7 @@
             m.returning.is_none()
                 && !m.direct_open
                 && m.direct_after <= now
-                && !self.dark.contains(&m.zone)
+                && !self.dark.contains_key(&m.zone)
         };
         let suspicious = now < self.suspicion;
         let doubtful = |m: &&Machine| match self.heard(m) {
@@ -183,7 +220,7 @@
         let wait = 100 << machine.unanswered.min(5);
         machine.direct_after = now + Span(wait);
         let missed = machine.last_heard.is_some_and(|t| now - t > late);
-        if missed && !self.dark.contains(&machine.zone) {
+        if missed && !self.dark.contains_key(&machine.zone) {
             self.suspicion = now + SUSPICION;
         }
     }
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -76,7 +76,7 @@
     let fresh = (machine.last_heard).is_some_and(|t| now - t < Span(lead.lease.0 / 2));
     machine.is_known(lead.epoch)
         && fresh
-        && !lead.dark.contains(&machine.zone)
+        && !lead.dark.contains_key(&machine.zone)
         // Heard is not commanded: while its worker leaves calls unanswered it gets nothing new.
         && machine.unanswered == 0
         && machine.notice.is_none()
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -24,6 +24,9 @@
     pub passes: bool,
     /// Milliseconds since a worker last reported to the sender, whatever it was answered.
     pub worker_silence_ms: u64,
+    /// Zones that the leader takes for cut off, and for how many milliseconds it has heard nothing of
+    /// them: one that follows it could not tell.
+    pub dark: Vec<(String, u64)>,
     /// The leader's counts of tasks, for display, now and then.
     pub counts: Option<Vec<Count>>,
 }
