Reclaim for gangs of several tasks, in one statement, whole or not at all

The design's own answer to a large gang that waits while others run beyond their share: lent work of a zone is stopped, gangs whole and saving, cheapest loss first, until the gang fits; what is not needed is let go on, and if it does not fit nothing is stopped. Every victim's team stays at or above its share and the gang's own within its share, so neither can take the room back.

--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -91,7 +91,7 @@
 }
 
 /// Whether a team is still at or above its share in what it gives.
-fn over_share_after(used: &Amounts, share: &Amounts, taken: &Amounts) -> bool {
+pub(super) fn over_share_after(used: &Amounts, share: &Amounts, taken: &Amounts) -> bool {
     // Memory has neither quota nor limit in the platform's file, so it is not lent.
     (0..KINDS - 1)
         .filter(|&k| taken[k] > 0.0)
@@ -103,7 +103,7 @@
 }
 
 /// What starting again costs a task, besides the work that is lost.
-const RESTART: Span = Span(10_000);
+pub(super) const RESTART: Span = Span(10_000);
 /// How many jobs a cycle looks at, and how many tasks of each: enough that a zone's replicas find
 /// room within seconds, and few enough that a cycle stays short. What is left waits for the next.
 const DEPTH: usize = 24;
@@ -117,7 +117,7 @@
     (why, spare, may): (&'static str, Span, Rule),
 ) {
     for &job in waiting.iter().take(DEPTH) {
-        // A gang of several tasks would need several machines emptied at once: it waits.
+        // A gang of several tasks needs several machines emptied at once: see `reclaim_gang`.
         if job.spec.kind == Kind::Gang && job.spec.tasks > 1 {
             continue;
         }
--- a/crates/core/src/actions/mod.rs
+++ b/crates/core/src/actions/mod.rs
@@ -6,11 +6,13 @@
 mod evict;
 mod fit;
 mod gather;
+mod reclaim_gang;
 
 pub use allocate::{allocate_firm, allocate_rest};
 pub use consolidate::consolidate;
 pub use evict::{preempt, reclaim, Scenario};
 pub use fit::{allowed, fits};
+pub use reclaim_gang::reclaim_gangs;
 
 /// Whether one more task of a job has room somewhere.
 pub fn has_room(
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -106,6 +106,7 @@
         actions::preempt(self, &mut picture, &waiting, &mut scenario);
         placements.extend(actions::allocate_firm(self, &mut picture, &waiting, false));
         placements.extend(actions::allocate_rest(self, &mut picture, &waiting));
+        actions::reclaim_gangs(self, &mut picture, &waiting, &mut scenario);
         if scenario.evictions.is_empty() && now.time >= self.next_move {
             let emptied = actions::consolidate(self, &mut picture, &mut scenario);
             self.next_move = now.time + self.period;
