Idle machines kept by their price; cheap arrays at full width; kept behind a cut

Beside machines with GPUs (25.53 an hour) the others cost next to nothing, but were returned after the same 20 s idle, and arrays were given only as many as get them done in time: waveforms and guarantees then waited for boots.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -67,6 +67,10 @@
 /// a bound.
 const REFUSED: Span = Span(4_000);
 const REFUSED_MOST: u32 = 3;
+/// A machine that costs so many times less than the dearest is kept idle as long as that one; one that
+/// costs still less, longer in proportion, up to so many times.
+const KEEP_RATIO: f64 = 5.0;
+const KEEP_MOST: f64 = 9.0;
 /// Idle machines are returned together, so often.
 const RETURNS: Span = Span(2_000);
 /// Why idle machines are returned.
@@ -158,7 +162,9 @@
         let boots: BTreeMap<TypeName, Span> = (self.catalog.types.iter())
             .map(|t| (t.name.clone(), Span::secs(t.boot_s * 4.0 + 30.0)))
             .collect();
-        let (spare_only, keep) = (self.spare_only(), self.keep_idle);
+        let spare_only = self.spare_only();
+        let keeps = self.keep_times();
+        let dark: BTreeSet<Zone> = self.dark.keys().cloned().collect();
         let lost = self.lost(now.time);
         let (led, lease) = (now.time - self.since, self.lease);
         let mut names = Vec::new();
@@ -172,7 +178,13 @@
             if machine.last_heard.is_none() && age > boot && led > Span(lease.0 * 2) {
                 machine.retire.get_or_insert("never came up");
             }
-            let idle = machine.entries.is_empty() || spare_only.contains(&machine.id);
+            let keep = (keeps
+                .get(&(machine.machine_type.clone(), machine.spot))
+                .copied())
+            .unwrap_or(self.keep_idle);
+            // Behind a cut it can't be used, and is not idle for that.
+            let idle = !dark.contains(&machine.zone) && machine.entries.is_empty()
+                || spare_only.contains(&machine.id);
             if !idle {
                 machine.idle = None;
             } else {
@@ -193,6 +205,22 @@
         names
     }
 
+    /// How long idle machines are kept, by type and kind: the cheaper beside the dearest that the
+    /// cloud has, the longer. Next to machines with GPUs the rest cost next to nothing, and the next
+    /// job has to wait for a boot if they are gone.
+    fn keep_times(&self) -> BTreeMap<(TypeName, bool), Span> {
+        let most = self.catalog.most_dear();
+        let kinds = (self.catalog.types.iter())
+            .flat_map(|t| [(t, false, Some(t.price)), (t, true, t.spot_price)]);
+        kinds
+            .filter_map(|(t, spot, price)| {
+                let times = (most / price?.max(1e-9) / KEEP_RATIO).clamp(1.0, KEEP_MOST);
+                let keep = (self.keep_idle.0 as f64 * times) as u64;
+                Some(((t.name.clone(), spot), Span(keep)))
+            })
+            .collect()
+    }
+
     fn note_returning(&mut self, names: &[MachineId], now: Now) {
         for id in names {
             if let Some(machine) = self.machines.get_mut(id) {
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -24,6 +24,9 @@
 /// are often wrong by half.
 const USE: f64 = 0.6;
 
+/// A machine that costs so many times less than the dearest is cheap.
+const CHEAP: f64 = 32.0;
+
 /// A machine that boots for so many times the usual is not counted on any more.
 const LATE: f64 = 1.3;
 
@@ -180,6 +183,9 @@
         let (Kind::Array, Some(aim)) = (spec.kind, aim) else {
             return free;
         };
+        if self.runs_cheaply(job) {
+            return free;
+        }
         let boot = (self.catalog.types.iter())
             .map(|t| t.boot_s)
             .fold(0.0, f64::max);
@@ -191,6 +197,16 @@
         at_once.saturating_sub(placed).min(free)
     }
 
+    /// Whether a machine for a job costs so little beside the dearest ones that there is nothing to
+    /// weigh: then all its tasks may run at once.
+    fn runs_cheaply(&self, job: &Job) -> bool {
+        let fitting = (self.catalog.types.iter())
+            .filter(|t| Resources::of_machine(t).holds(&job.need))
+            .filter(|t| (job.spec.types.as_ref()).is_none_or(|l| l.contains(&t.name)));
+        let least = fitting.map(|t| t.price).fold(f64::INFINITY, f64::min);
+        least * CHEAP <= self.catalog.most_dear()
+    }
+
     /// How many more tasks of a job its team's limits allow, at most `most`; they are charged.
     fn allowance(&self, job: &Job, most: u32, plan: &mut Plan) -> u32 {
         let need = amounts(&job.need);
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -33,6 +33,8 @@
 const ZONE: usize = 4;
 const ZONE_SILENT: Span = Span(1_000);
 const PAUSES: u64 = 6;
+/// Machines behind a cut are kept for so many leases.
+const KEPT: u64 = 4;
 
 impl Lead {
     /// A machine that was not heard for so long has missed a report.
@@ -124,7 +126,10 @@
                     is_firm(s) && zones.saturating_mul(s.zone_cap()) >= s.tasks
                 })
         };
-        now > since + self.lease.with_drift() + Span(1_000) && m.entries.iter().any(movable)
+        let over =
+            |leases: u64| now > since + Span(self.lease.0 * leases).with_drift() + Span(1_000);
+        // For a while it is kept although nothing runs there: when the cut ends it is wanted at once.
+        over(KEPT) || over(1) && m.entries.iter().any(movable)
     }
 
     /// Machines that are surely lost or can't be commanded, and why.
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -46,6 +46,13 @@
     pub types: Vec<MachineType>,
 }
 
+impl Catalog {
+    /// The highest ordinary price.
+    pub fn most_dear(&self) -> f64 {
+        self.types.iter().map(|t| t.price).fold(0.0, f64::max)
+    }
+}
+
 /// A rental request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rent {
