Cycles by a tenth of the fleet; more gangs gathered; tests of cuts, losses and trials

A watch's answer that is too long is read anew in pages; a page of the take-over that could not be read is asked for again by itself, after a pause; batches of reports are bounded by size.

--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -13,7 +13,8 @@
 
 /// Keys asked for in one page.
 const PAGE: u32 = 200;
-/// The longest answer that is read.
+/// The longest answer that is read. Lists come in pages well below it. A watch's answer has no
+/// bound: one that is longer is not asked for again, but everything read anew, in pages.
 const MAX_ANSWER: u64 = 4 << 20;
 /// Watches wait so long for a change.
 const WATCH_MS: u64 = 10_000;
@@ -36,6 +37,7 @@
 enum Reply {
     Status(u16, Vec<u8>),
     NotSent,
+    TooLong,
     Nothing,
 }
 
@@ -48,7 +50,11 @@
                 .with_config()
                 .limit(MAX_ANSWER)
                 .read_to_vec();
-            body.map_or(Reply::Nothing, |bytes| Reply::Status(status, bytes))
+            match body {
+                Ok(bytes) => Reply::Status(status, bytes),
+                Err(ureq::Error::BodyExceedsLimit(_)) => Reply::TooLong,
+                Err(_) => Reply::Nothing,
+            }
         }
         Err(ureq::Error::ConnectionFailed | ureq::Error::HostNotFound) => Reply::NotSent,
         Err(ureq::Error::Timeout(ureq::Timeout::Connect)) => Reply::NotSent,
@@ -113,7 +119,7 @@
         Reply::Status(status, body) => state_answer(call, status, &body),
         // Nothing was sent, so nothing can have been executed.
         Reply::NotSent => StateAnswer::Refused,
-        Reply::Nothing => StateAnswer::Unknown,
+        Reply::Nothing | Reply::TooLong => StateAnswer::Unknown,
     }
 }
 
@@ -159,7 +165,7 @@
     let url = format!("http://{addr}/changes?prefix={prefix}&after={after}&blockMs={WATCH_MS}");
     match get(agent, &url) {
         Reply::Status(200, body) => parsed(&body, Watched::Failed, Watched::Events),
-        Reply::Status(410, _) => Watched::Lost,
+        Reply::Status(410, _) | Reply::TooLong => Watched::Lost,
         _ => Watched::Failed,
     }
 }
--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -12,8 +12,10 @@
 use crate::units::Span;
 use rudderreel_wire::job::Kind;
 
-/// For so many gangs room is gathered at the same time.
+/// For so many gangs room is gathered at the same time, and for one more for so many machines that
+/// could hold one of their tasks: a larger fleet has more of them waiting.
 const GANGS: usize = 4;
+const MACHINES_PER_GANG: usize = 100;
 /// So many waiting gangs are looked at.
 const DEPTH: usize = 24;
 /// Users take a job that does not begin within four minutes for not served. Room is gathered in
@@ -35,6 +37,10 @@
         .filter(|j| picture.taken(&j.spec.id) == 0)
         .collect();
     gangs.sort_by_key(|j| j.submitted);
+    let fitting = (picture.spots.iter())
+        .filter(|s| gangs.iter().take(1).any(|j| s.room.holds(&j.need)))
+        .count();
+    let most = GANGS + fitting / MACHINES_PER_GANG;
     for job in gangs.into_iter().take(DEPTH) {
         let zones: Vec<Option<usize>> = if job.spec.one_zone {
             (0..picture.zone_names.len()).map(Some).collect()
@@ -55,7 +61,7 @@
             picture.spots[at].kept_for = Some((job.spec.id.clone(), ready_s));
         }
         picture.gathering.insert(job.spec.id.clone());
-        if picture.gathering.len() >= GANGS {
+        if picture.gathering.len() >= most {
             return;
         }
     }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -478,6 +478,7 @@
             return;
         }
         self.learn_changed(changed, now);
+        self.read_on(now);
         self.cut_off(now);
         self.note_fence(now.time);
         let Some(lead) = self.lead.as_mut() else {
@@ -485,7 +486,7 @@
         };
         if lead.ready && now.time >= self.next_books {
             // Looking through a large fleet takes longer, so it is done less often.
-            self.next_books = now.time + Span(BOOKS.0 + lead.machines.len() as u64 / 5);
+            self.next_books = now.time + Span(BOOKS.0 + lead.machines.len() as u64 / 12);
             lead.find_dark_zones(now.time);
             lead.end_cancelled(now);
             lead.drain(now.time);
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -369,6 +369,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::testing;
 
     fn machine(heard: Option<Time>) -> Machine {
         let (t, z) = ("m4".into(), "a".into());
@@ -405,83 +406,19 @@
         ));
     }
 
-    const SETTINGS: &str = r#"
-node = "n0"
-domain = "z"
-front = "10.0.0.1:1"
-peer_bind = "10.0.0.1:2"
-[outside]
-cloud = "10.1.0.1:1"
-state = "10.1.0.2:1"
-[params]
-nodes = 1
-[[params.teams]]
-name = "red"
-cpus = 100.0
-[[params.teams]]
-name = "blue"
-cpus = 100.0
-[[params.objectives]]
-kind = "wait"
-class = "standing"
-within_s = 1.0
-[params.workers]
-report_s = 1.0
-lease_s = 6.0
-gang_wait_s = 10.0
-gang_peer_s = 2.0
-cancel_s = 20.0
-[params.state]
-rps = 100.0
-write_rps = 50.0
-value_kb = 16.0
-txn_ops = 8
-[params.cloud]
-rps = 5.0
-list_lag_s = 3.0
-"#;
-
-    fn job(n: u32, kind: &str, team: &str, priority: &str) -> Job {
-        let spec = serde_json::json!({
-            "id": format!("wk-{n}"), "reel": kind, "crew": team, "rig": kind,
-            "precedence": priority, "takes": 4, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
-            "pressing": format!("img-{n}"), "pullGb": 5.0, "hulls": null, "berth": null,
-            "together": false, "scatter": false, "driftwood": true, "expectedS": 4.0,
-            "snapshotS": 0.0, "stowS": 0.0, "dueS": null});
-        let spec = serde_json::from_value(spec).expect("a job");
-        Job::new(spec, Version(1), Wall(1_000_000))
-    }
-
     /// Replicas whose image no machine had were put off until the end of a cycle, and an array of
     /// another team took each machine that came up: they waited a minute.
     #[test]
     fn replicas_go_before_arrays_also_without_their_image() {
-        use crate::tree::TeamTree;
-        use rudderreel_wire::ids::{Epoch, LeaseId};
-        let settings = rudderreel_wire::settings::Settings::parse(SETTINGS).expect("settings");
-        let tree = TeamTree::from_limits(&settings.params.teams);
-        let now = Now {
-            time: Time(1_000_000),
-            wall: Wall(1_000_000),
-        };
-        let (epoch, at) = (Epoch(1), now.time);
-        let mut lead = Lead::new(&settings, tree, epoch, LeaseId(1), at, Version(1), at);
-        lead.ready = true;
-        let catalog = serde_json::json!({"hulls": [{"label": "m4", "vcpus": 4.0, "gpus": 0.0,
-            "memoryGb": 16.0, "cacheGb": 50.0, "fetchGbPerS": 1.0, "rate": 1.0,
-            "marketPrice": 0.3, "startupS": 40.0, "berths": ["a"]}]});
-        lead.learn_catalog(serde_json::from_value(catalog).expect("a catalog"));
-        let mut up = machine(Some(now.time));
-        up.room = lead.room_of(&"m4".into());
-        up.acked = epoch;
-        lead.machines.insert(up.id.clone(), up);
+        let mut lead = testing::lead();
+        testing::up(&mut lead, "vm-1", "a");
         for job in [
-            job(1, "sweep", "red", "normal"),
-            job(2, "standing", "blue", "prod"),
+            testing::job(1, "sweep", "red", "normal"),
+            testing::job(2, "standing", "blue", "prod"),
         ] {
             lead.jobs.insert(job.spec.id.clone(), job);
         }
-        lead.cycle(now);
+        lead.cycle(testing::NOW);
         let placed = |id: &str| lead.jobs[&id.parse().expect("an id")].placed();
         assert_eq!((placed("wk-1"), placed("wk-2")), (0, 4));
     }
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -41,6 +41,8 @@
     pub words: BTreeMap<NodeName, Time>,
     /// Whether the state has been read back.
     pub ready: bool,
+    /// A page that has to be asked for again, and when.
+    pub(crate) read_again: Option<(Time, &'static str, Option<String>)>,
     /// Reports that came before that.
     pub early: BTreeMap<MachineId, Report>,
     /// Machines.
@@ -170,6 +172,7 @@
             fence: None,
             words: BTreeMap::new(),
             ready: false,
+            read_again: None,
             early: BTreeMap::new(),
             machines: BTreeMap::new(),
             returned: BTreeMap::new(),
@@ -275,7 +278,7 @@
 
     /// Asks for a cycle soon. A cycle over a large fleet takes longer, so more is collected for it.
     pub fn wake(&mut self, now: Time) {
-        let collect = Span(DEBOUNCE.0 + self.machines.len() as u64 / 4);
+        let collect = Span(DEBOUNCE.0 + self.machines.len() as u64 / 10);
         self.next_cycle = self.next_cycle.min(now + collect);
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,8 @@
 mod snapshot;
 mod state_calls;
 mod statement;
+#[cfg(test)]
+mod testing;
 mod tree;
 pub mod units;
 
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -10,7 +10,7 @@
     job_key, JobRecord, LeaderRecord, PageId, PageRecord, BOOKS, CATALOG, JOBS, LEADER,
 };
 use crate::state_calls::Urgency;
-use crate::units::Now;
+use crate::units::{Now, Span};
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Epoch, JobId, Session, Version};
 use rudderreel_wire::state::{Change, Condition, Page, Transaction};
@@ -19,8 +19,9 @@
 /// What a call of the leader is for.
 #[derive(Clone, Debug)]
 pub enum LeadStep {
-    /// Read back all keys with a prefix; the rest of the prefixes follow.
-    ReadBack(&'static str),
+    /// Read back a page of the keys with a prefix, beginning after one; the rest of the prefixes
+    /// follow.
+    ReadBack(&'static str, Option<String>),
     /// Record a page of the books.
     Page(PageId),
     /// Record that a job is done.
@@ -35,6 +36,9 @@
     Catalog,
 }
 
+/// A page that could not be read is asked for again after so long.
+const AGAIN: Span = Span(150);
+
 /// In the order in which they are read back: jobs come before what refers to them.
 const PREFIXES: [&str; 2] = [JOBS, BOOKS];
 
@@ -45,8 +49,8 @@
     }
 
     fn list(&mut self, prefix: &'static str, after: Option<String>) {
-        let call = StateCall::List(prefix.into(), after);
-        self.lead_call(call, LeadStep::ReadBack(prefix));
+        let call = StateCall::List(prefix.into(), after.clone());
+        self.lead_call(call, LeadStep::ReadBack(prefix, after));
     }
 
     pub(crate) fn lead_call(&mut self, call: StateCall, step: LeadStep) {
@@ -60,7 +64,7 @@
     /// The answer to a leader's call.
     pub(crate) fn lead_answer(&mut self, step: LeadStep, answer: StateAnswer, now: Now) {
         match step {
-            LeadStep::ReadBack(prefix) => self.page_back(prefix, answer, now),
+            LeadStep::ReadBack(prefix, after) => self.page_back(prefix, after, answer, now),
             LeadStep::Page(page) => self.page_answered(page, answer, now),
             LeadStep::Complete(id) => self.completed(id, answer, now),
             LeadStep::JobAgain(id) => self.job_again(id, answer),
@@ -70,9 +74,28 @@
         }
     }
 
-    fn page_back(&mut self, prefix: &'static str, answer: StateAnswer, now: Now) {
+    /// Asks again for a page that was not read: for the same one, and not at once, or an outage
+    /// would be filled with such calls.
+    pub(crate) fn read_on(&mut self, now: Now) {
+        let due =
+            (self.lead.as_mut()).and_then(|l| l.read_again.take_if(|(at, ..)| now.time >= *at));
+        if let Some((_, prefix, after)) = due {
+            self.list(prefix, after);
+        }
+    }
+
+    fn page_back(
+        &mut self,
+        prefix: &'static str,
+        after: Option<String>,
+        answer: StateAnswer,
+        now: Now,
+    ) {
         let StateAnswer::Page(page) = answer else {
-            return self.list(prefix, None);
+            if let Some(lead) = self.lead.as_mut() {
+                lead.read_again = Some((now.time + AGAIN, prefix, after));
+            }
+            return;
         };
         let last = page.items.last().map(|i| i.key.clone());
         let more = page.more;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -20,9 +20,13 @@
 
 /// How long reports are collected before they are passed on.
 const GATHER: Span = Span(80);
-/// Batches that may be on their way at once, and reports that may wait.
+/// Batches that may be on their way at once, and reports that may wait: some seconds' worth. Workers
+/// give up after 4 s, so however large the fleet is, more waiting would only be answered too late.
 const OPEN: usize = 3;
 const MOST: usize = 1_000;
+/// Tasks that the reports of a batch list in all, roughly: a peer takes 1 MiB, and a task is some 80
+/// bytes of it.
+const BATCH_TASKS: usize = 4_000;
 /// A worker that has missed a report, with so much to spare, reports elsewhere; but not before the
 /// least.
 const LEFT_SPARE: Span = Span(2_000);
@@ -206,8 +210,18 @@
         if !due || self.relay.open.len() >= OPEN {
             return;
         }
-        self.relay.since = None;
-        let held = std::mem::take(&mut self.relay.waiting);
+        let mut tasks = 0;
+        let fits = |held: &&Held| {
+            tasks += 2 + held.report.tasks.len();
+            tasks <= BATCH_TASKS
+        };
+        let n = self.relay.waiting.iter().take_while(fits).count().max(1);
+        let rest = self
+            .relay
+            .waiting
+            .split_off(n.min(self.relay.waiting.len()));
+        let held = std::mem::replace(&mut self.relay.waiting, rest);
+        self.relay.since = (!self.relay.waiting.is_empty()).then_some(now.time);
         let Some(leader) = self.near_leader(now.time) else {
             return self.not_passed(held);
         };
@@ -358,3 +372,30 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A leader that no worker reached looked idle, and the others sent it all of theirs.
+    #[test]
+    fn to_a_node_that_no_worker_reaches_one_is_sent_on_trial() {
+        let (mut relay, now, report) = (Relay::default(), Time(1_000_000), Span(6_000));
+        let name = NodeName::from("n1");
+        let peer = |workers: u32, silence: u64| PeerView {
+            workers,
+            worker_silence: Span(silence),
+            ..PeerView::default()
+        };
+        let busy = peer(100, 200);
+        let cut = [peer(100, 1_600), peer(0, 200), peer(0, u64::MAX)];
+        assert!(cut.iter().all(|p| relay.may_send(&name, p, report, now)));
+        relay.trials.insert(name.clone(), now);
+        let soon = now + Span(900);
+        assert!(relay.may_send(&name, &busy, report, soon));
+        assert!(!cut.iter().any(|p| relay.may_send(&name, p, report, soon)));
+        assert!(relay.may_send(&name, &cut[1], report, now + Span(1_100)));
+        // One with few workers is not always heard of.
+        assert!(relay.may_send(&name, &peer(4, 7_000), report, soon));
+    }
+}
--- /dev/null
+++ b/crates/core/src/testing.rs
@@ -0,0 +1,112 @@
+//! A small leader for unit tests.
+
+use crate::job::Job;
+use crate::lead::Lead;
+use crate::possession::{Entry, Machine, Phase};
+use crate::tree::TeamTree;
+use crate::units::{Now, Time, Wall};
+use rudderreel_wire::ids::{Attempt, Epoch, LeaseId, MachineId, Version};
+use rudderreel_wire::settings::Settings;
+use rudderreel_wire::worker::TaskState;
+
+/// The moment that tests begin at.
+pub const NOW: Now = Now {
+    time: Time(1_000_000),
+    wall: Wall(1_000_000),
+};
+
+const SETTINGS: &str = r#"
+node = "n0"
+domain = "z"
+front = "10.0.0.1:1"
+peer_bind = "10.0.0.1:2"
+[outside]
+cloud = "10.1.0.1:1"
+state = "10.1.0.2:1"
+[params]
+nodes = 1
+[[params.teams]]
+name = "red"
+cpus = 100.0
+[[params.teams]]
+name = "blue"
+cpus = 100.0
+[[params.objectives]]
+kind = "wait"
+class = "standing"
+within_s = 1.0
+[params.workers]
+report_s = 1.0
+lease_s = 6.0
+gang_wait_s = 10.0
+gang_peer_s = 2.0
+cancel_s = 20.0
+[params.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 8
+[params.cloud]
+rps = 5.0
+list_lag_s = 3.0
+"#;
+/// A leader with two teams, one machine type of 4 CPUs in two zones, and nothing else.
+pub fn lead() -> Lead {
+    let settings = Settings::parse(SETTINGS).expect("settings");
+    let tree = TeamTree::from_limits(&settings.params.teams);
+    let (epoch, at) = (Epoch(1), NOW.time);
+    let mut lead = Lead::new(&settings, tree, epoch, LeaseId(1), at, Version(1), at);
+    lead.ready = true;
+    let catalog = serde_json::json!({"hulls": [{"label": "m4", "vcpus": 4.0, "gpus": 0.0,
+        "memoryGb": 16.0, "cacheGb": 50.0, "fetchGbPerS": 1.0, "rate": 1.0,
+        "marketPrice": 0.3, "startupS": 40.0, "berths": ["a", "b"]}]});
+    lead.learn_catalog(serde_json::from_value(catalog).expect("a catalog"));
+    lead
+}
+
+/// Adds a machine that was just heard.
+pub fn up(lead: &mut Lead, id: &str, zone: &str) -> MachineId {
+    let room = lead.room_of(&"m4".into());
+    let mut machine = Machine::new(id.into(), "m4".into(), zone.into(), false, room, NOW.wall);
+    machine.last_heard = Some(NOW.time);
+    machine.acked = lead.epoch;
+    machine.addr = Some("10.0.0.1:1".into());
+    let id = machine.id.clone();
+    lead.machines.insert(id.clone(), machine);
+    id
+}
+
+/// A job of four tasks of one CPU.
+pub fn job(n: u32, kind: &str, team: &str, priority: &str) -> Job {
+    job_of(n, kind, team, priority, 4, 1.0)
+}
+
+/// A job of so many tasks of so many CPUs.
+pub fn job_of(n: u32, kind: &str, team: &str, priority: &str, tasks: u32, cpus: f64) -> Job {
+    let spec = serde_json::json!({
+        "id": format!("wk-{n}"), "reel": kind, "crew": team, "rig": kind,
+        "precedence": priority, "takes": tasks, "vcpus": cpus, "gpus": 0.0, "memoryGb": 1.0,
+        "pressing": format!("img-{n}"), "pullGb": 5.0, "hulls": null, "berth": null,
+        "together": kind == "gang", "scatter": false, "driftwood": true, "expectedS": 4.0,
+        "snapshotS": 0.0, "stowS": 0.0, "dueS": null});
+    let spec = serde_json::from_value(spec).expect("a job");
+    Job::new(spec, Version(1), NOW.wall)
+}
+
+/// Has a task of a job run on a machine since long ago.
+pub fn run(lead: &mut Lead, job: &Job, index: u32, machine: &MachineId) {
+    let job = lead
+        .jobs
+        .entry(job.spec.id.clone())
+        .or_insert_with(|| job.clone());
+    let attempt = Attempt(1);
+    job.place(index, machine, attempt);
+    job.begun = true;
+    let task = job.spec.id.task(index);
+    let mut entry = Entry::planned(task, attempt, Some(job.spec.clone()), Time(1));
+    entry.phase = Phase::On(TaskState::Running);
+    entry.running = Some(Time(1));
+    if let Some(machine) = lead.machines.get_mut(machine) {
+        machine.entries.push(entry);
+    }
+}
--- a/crates/core/tests/sim/added.rs
+++ b/crates/core/tests/sim/added.rs
@@ -42,6 +42,81 @@
     alone(12, 5, 522..524);
 }
 
+/// Zones that are cut off from everything while their nodes and machines go on inside, mixed with
+/// all other troubles.
+#[test]
+fn cut_zones() {
+    for seed in 515..518 {
+        let plan = Plan {
+            nodes: 5,
+            zones: true,
+            spread: seed % 2 == 0,
+            jobs: 40,
+            ..Plan::default()
+        };
+        day(seed, plan);
+    }
+}
+
+/// When a zone with many machines was cut off, its machines were probed and returned, with all that
+/// ran on them, which a cut shorter than a lease does not harm.
+#[test]
+fn a_zone_behind_a_cut_is_left_alone() {
+    let plan = Plan {
+        machines: 60,
+        jobs: 60,
+        pace: 120,
+        large: true,
+        lease_s: 20,
+        ..Plan::default()
+    };
+    let mut world = World::of(540, plan);
+    world.run_until(40_000);
+    // The zone in which the leader is not.
+    let leader = world.leader().expect("a leader");
+    let dark = ["b", "a"][leader % 2];
+    let there = |world: &World| -> Vec<MachineId> {
+        let all = world.workers.iter().filter(|(_, w)| w.zone() == dark);
+        all.map(|(id, _)| id.clone()).collect()
+    };
+    let before = there(&world);
+    assert!(before.len() >= 10, "{} machines", before.len());
+    let until = world.now + 15_000;
+    world.cut_zone(dark, until);
+    world.run_until(until);
+    let gone = before.iter().filter(|id| !world.cloud.has(id)).count();
+    assert_eq!(gone, 0, "machines were given up");
+    world.run_until(240_000);
+    assert_eq!(unfinished(&world), Vec::<String>::new());
+}
+
+/// A leader that no worker reaches, and that reaches none, makes way though other nodes pass reports
+/// on to it. The others sent it all their workers, since it seemed to have none, again and again.
+#[test]
+fn a_leader_that_reaches_no_worker_makes_way() {
+    let plan = Plan {
+        nodes: 5,
+        spread: true,
+        machines: 60,
+        jobs: 60,
+        pace: 120,
+        large: true,
+        report_s: 2.0,
+        lease_s: 12,
+        ..Plan::default()
+    };
+    let mut world = World::of(541, plan);
+    world.run_until(40_000);
+    let old = world.leader().expect("a leader");
+    let until = world.now + 30_000;
+    world.cut_workers(old, until);
+    world.run_until(until - 10_000);
+    assert_ne!(world.leader(), Some(old), "it goes on leading");
+    // A worker that finds no node for a while may lose its lease.
+    let lost = world.workers.values().filter(|w| w.session.0 > 1).count();
+    assert!(lost <= 3, "{lost} leases ran out");
+}
+
 /// A leader that hears only workers stops giving 200 within its bound, and sends them away so that
 /// they find the one that follows it; a follower like it never gives any.
 #[test]
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -108,6 +108,8 @@
     pub large: bool,
     /// Only this kind of trouble comes.
     pub only: Option<u32>,
+    /// Whole zones are cut off, too.
+    pub zones: bool,
     /// Milliseconds from one look at a user's turn to the next, at most.
     pub pace: u64,
 }
@@ -124,6 +126,7 @@
             report_s: 1.0,
             large: false,
             only: None,
+            zones: false,
             pace: 400,
         }
     }
@@ -146,6 +149,8 @@
     pub starts: u32,
     plan: Plan,
     state_slow_until: u64,
+    /// A zone that is cut off from everything, and until when. It goes on inside.
+    dark: Option<(&'static str, u64)>,
     /// Since when there are no troubles.
     calm_since: Option<u64>,
     admin_answer: Option<(u16, String)>,
@@ -157,6 +162,11 @@
 /// The largest jobs of a class begin within this time.
 const BEGIN_MS: u64 = 240_000;
 
+/// Where a node is.
+fn zone_of(node: usize) -> &'static str {
+    ["a", "b"][node % 2]
+}
+
 fn settings(me: usize, plan: &Plan) -> Settings {
     let (nodes, lease, report) = (plan.nodes, plan.lease_s, plan.report_s);
     let (red, blue) = if plan.crowd || plan.large {
@@ -220,6 +230,7 @@
             faults: false,
             starts: 0,
             state_slow_until: 0,
+            dark: None,
             calm_since: None,
             admin_answer: None,
             plan,
@@ -424,7 +435,23 @@
     }
 
     fn connected(&self, a: usize, b: usize) -> bool {
-        self.now >= self.nodes[a].cut_peers_until && self.now >= self.nodes[b].cut_peers_until
+        !self.apart(zone_of(a), zone_of(b))
+            && self.now >= self.nodes[a].cut_peers_until
+            && self.now >= self.nodes[b].cut_peers_until
+    }
+
+    /// Whether a cut zone lies between two places.
+    fn apart(&self, a: &str, b: &str) -> bool {
+        let dark = self.dark.filter(|(_, until)| self.now < *until);
+        dark.is_some_and(|(zone, _)| (a == zone) != (b == zone))
+    }
+
+    /// Cuts a zone off from everything.
+    pub fn cut_zone(&mut self, zone: &'static str, until: u64) {
+        self.dark = Some((zone, until));
+        for node in (0..self.plan.nodes).filter(|n| zone_of(*n) == zone) {
+            self.nodes[node].cut_state_until = until;
+        }
     }
 
     fn ask(&mut self, node: usize, asker: Asker) -> ReqId {
@@ -590,7 +617,9 @@
     }
 
     fn direct(&mut self, node: usize, life: u32, id: MachineId, body: DirectCommands, late: bool) {
-        let cut = self.now < self.nodes[node].cut_workers_until;
+        let zone = (self.workers.get(&id)).map_or("", |w| w.zone()).to_string();
+        let apart = self.apart(&zone, zone_of(node));
+        let cut = apart || self.now < self.nodes[node].cut_workers_until;
         let deaf = (self.workers.get(&id)).is_some_and(|w| w.deaf_until > self.now);
         if deaf && !late {
             let input = Input::Direct(id, body, DirectOutcome::Unknown);
@@ -609,8 +638,7 @@
             return self.after(800, Event::Input(node, life, input));
         };
         if !late
-            && (cut || worker.cut_until > self.now || self.rng.random_bool(0.02))
-            && self.faults
+            && (cut || self.faults && (worker.cut_until > self.now || self.rng.random_bool(0.02)))
         {
             // Held back, and carried out later; the sender has given up by then.
             let delay = self.rng.random_range(1_000..9_000);
@@ -660,6 +688,8 @@
             .map(|w| w.node)
             .map(|n| self.nodes[n].life);
         let nodes = self.plan.nodes;
+        let zone = (self.workers.get(id)).map_or("", |w| w.zone()).to_string();
+        let apart: Vec<bool> = (0..nodes).map(|n| self.apart(&zone, zone_of(n))).collect();
         let results = &mut self.results;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -673,7 +703,9 @@
         let node = worker.node;
         let report = worker.report();
         let session = worker.session.0;
-        let cut = worker.cut_until > self.now || self.nodes[node].cut_workers_until > self.now;
+        let cut = apart[node]
+            || worker.cut_until > self.now
+            || self.nodes[node].cut_workers_until > self.now;
         let deaf = worker.deaf_until > self.now;
         let next = if deaf { 5_000 } else { next };
         if deaf {
@@ -1008,6 +1040,11 @@
         self.nodes[node].cut_peers_until = until;
     }
 
+    /// Cuts a node off from all workers.
+    pub fn cut_workers(&mut self, node: usize, until: u64) {
+        self.nodes[node].cut_workers_until = until;
+    }
+
     // --- faults ---
 
     fn fault(&mut self) {
@@ -1018,7 +1055,9 @@
         }
         let node = self.rng.random_range(0..self.plan.nodes);
         let long = self.now + self.rng.random_range(1_000..15_000);
-        let any = self.rng.random_range(0..18);
+        let any = self
+            .rng
+            .random_range(0..if self.plan.zones { 22 } else { 18 });
         match self.plan.only.unwrap_or(any) {
             0 | 1 => self.crash(node),
             2 => (0..self.plan.nodes).for_each(|n| self.crash(n)),
@@ -1035,6 +1074,8 @@
             15 => self.nodes[node].slow_until = long,
             16 => self.some_workers(0.1, Worker::reboot),
             17 => self.cloud.down = !self.cloud.down,
+            18 | 19 => self.cut_zone("a", long),
+            20 | 21 => self.cut_zone("b", long),
             3 => self.store.set_down(true, self.now),
             4 => self.store.set_down(false, self.now),
             5 => self.nodes[node].cut_state_until = long,
