A zone is cut off only if others report steadily; a short silence gives no respite

Zones with fewer than 24 machines are cut off only when all of them have missed a report; a third of what others should send must have come.

--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -28,11 +28,13 @@
 const JUST_NOW: Span = Span(1_500);
 /// Probes that may be under way at once.
 const UNDER_WAY: usize = 64;
-/// A zone with at least so many machines is taken for cut off when none of them was heard for so
-/// long, or for so many times the usual pause between their reports.
+/// A zone with at least so many machines is taken for cut off when all of them have missed a report;
+/// one with many already when none was heard for so long, or for so many times the usual pause
+/// between their reports.
 const ZONE: usize = 4;
+const MANY: usize = 24;
 const ZONE_SILENT: Span = Span(1_000);
-const PAUSES: u64 = 6;
+const PAUSES: u64 = 10;
 /// Machines behind a cut are kept for so many leases.
 const KEPT: u64 = 4;
 
@@ -72,13 +74,15 @@
             *all += 1;
             *last = heard.max(*last);
         }
+        let due: usize = zones.values().map(|(dues, ..)| dues).sum();
         let dark = |(zone, (dues, all, last)): &(&&Zone, &(usize, usize, Time))| {
             // One that was cut off is until some machine is heard again, also if all that was on
             // them is gone.
             let was = self.dark.contains_key(**zone);
-            let count = if was { all } else { dues };
-            let pause = PAUSES * self.report.0 / (*count).max(1) as u64;
-            (was || *count >= ZONE) && now - *last > ZONE_SILENT.max(Span(pause))
+            let silent = self.zone_silence(if was { *all } else { *dues });
+            (was || *dues >= ZONE)
+                && now - *last > silent
+                && (was || self.heard_elsewhere(zone, silent, due - dues, now))
         };
         let mut dark: BTreeMap<Zone, Time> = (zones.iter().filter(dark))
             .map(|(zone, (.., last))| ((*zone).clone(), *last))
@@ -98,15 +102,36 @@
                 log::info!("zone {zone} is cut off");
             }
         }
-        for zone in self.dark.keys().filter(|z| !dark.contains_key(*z)) {
+        let late = self.late();
+        for (zone, since) in self.dark.iter().filter(|(z, _)| !dark.contains_key(*z)) {
             log::info!("zone {zone} is no longer cut off");
-            self.lit.insert(zone.clone(), now);
+            if now - *since > late {
+                self.lit.insert(zone.clone(), now);
+            }
         }
         // What an earlier leader noticed is over where somebody is heard.
         self.dark_before.retain(|zone, _| !heard.contains(zone));
         self.dark = dark;
     }
 
+    /// Of a zone with so many machines that should report something is heard within this time.
+    fn zone_silence(&self, machines: usize) -> Span {
+        if machines < MANY {
+            // They may all report at about the same moment.
+            return self.late();
+        }
+        ZONE_SILENT.max(Span(PAUSES * self.report.0 / machines as u64))
+    }
+
+    /// Whether a third of the reports that other zones should send within a time came. After a
+    /// take-over all workers report at once, and then nobody for a while.
+    fn heard_elsewhere(&self, zone: &Zone, within: Span, due: usize, now: Time) -> bool {
+        let heard = (self.machines.values())
+            .filter(|m| m.zone != *zone && m.last_heard.is_some_and(|t| now - t < within))
+            .count();
+        heard as u64 * 3 * self.report.0 >= due as u64 * within.0.min(self.report.0)
+    }
+
     /// Whether a machine behind a cut should be returned. When the leases there have run out, the
     /// leader that heard of it last knows that nothing runs there any more. One that took over since
     /// can't tell for a lease more; if replicas may run elsewhere, a return is the sooner proof.
@@ -270,6 +295,29 @@
         assert_eq!(lead.lost(now), BTreeMap::new());
     }
 
+    /// After a take-over all workers report at once and then nobody for a while; the first of one zone
+    /// to report again does not make the other one cut off.
+    #[test]
+    fn a_lull_is_no_cut() {
+        let mut lead = lead();
+        for n in 0..30 {
+            for zone in ["a", "b"] {
+                up(&mut lead, &format!("vm-{zone}{n}"), zone);
+            }
+        }
+        let now = NOW.time + Span(1_600);
+        let hear = |lead: &mut Lead, n: u32| {
+            let id = MachineId::from(format!("vm-a{n}").as_str());
+            lead.machines.get_mut(&id).expect("a machine").last_heard = Some(now);
+        };
+        hear(&mut lead, 0);
+        lead.find_dark_zones(now);
+        assert!(lead.dark.is_empty());
+        (0..30).for_each(|n| hear(&mut lead, n));
+        lead.find_dark_zones(now);
+        assert!(lead.dark.contains_key(&"b".into()));
+    }
+
     /// Machines that are silent while others of their zone are heard are lost.
     #[test]
     fn silent_machines_among_others_are_lost() {
