Neither users nor the leader's books wait for ever; whose fault an error is; huge jobs

Change: users' calls and the books take turns; the leader has twice a follower's part; confirmations take at most 0.3 of a node's calls, so they cost by jobs and time, not by questions, and a job that nobody submitted is confirmed with the others; watches pause by the limit; completions go several to a commit. What is done of a job is kept, recorded and compared as ranges that always fit a page. A job that fails on several machines is suspected, pays itself and holds nothing; a machine is when several unsuspected jobs fail there.

Test neither_users_nor_the_leader_wait_for_ever fails with the turns taken out.

--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -41,8 +41,11 @@
 /// far below what a process may have.
 const SOCKETS_PER_THREAD: usize = 100;
 const MOST_THREADS: usize = 64;
-/// Pause between watches, so that a busy time does not use up the state service's limit.
-const WATCH_PAUSE: Duration = Duration::from_millis(25);
+/// The part of the state service's limit that the nodes' watches may use together: each is asked
+/// for again after every change.
+const WATCH_PART: f64 = 0.2;
+/// The longest pause that comes of it.
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// A step of the core that takes longer is logged, for debugging.
 const SLOW: Span = Span(40);
 /// Stack of a thread.
@@ -271,7 +274,7 @@
     open: Open,
 ) -> Result<Wires, String> {
     let state = start_state(settings.services.state, clock, core)?;
-    let watch = start_watch(settings.services.state, core)?;
+    let watch = start_watch(settings, core)?;
     let cloud = start_cloud(settings.services.cloud, core)?;
     let sockets = (settings.params.limits.as_ref()).map_or(0, |l| l.fd_limit as usize);
     let by_need = |least: usize| (sockets / SOCKETS_PER_THREAD).clamp(least, MOST_THREADS);
@@ -319,12 +322,16 @@
     Ok(calls)
 }
 
-fn start_watch(addr: SocketAddrV4, core: &Sender<Input>) -> Result<Sender<Version>, String> {
+fn start_watch(settings: &Settings, core: &Sender<Input>) -> Result<Sender<Version>, String> {
+    let addr = settings.services.state;
+    let rate = settings.params.state.rps * WATCH_PART / f64::from(settings.params.nodes.max(1));
+    let pause = Duration::from_secs_f64(1.0 / rate.max(0.1)).min(WATCH_PAUSE);
     let (starts, queue) = bounded::<Version>(4);
     let agent = clients::agent(400, 12_000);
     let core = core.clone();
     spawn("watch", move || {
         for mut after in queue {
+            let asked = Instant::now();
             let input = loop {
                 match clients::watch(&agent, addr, "pub/", after) {
                     Watched::Events(e) if e.events.is_empty() => after = e.revision.max(after),
@@ -333,10 +340,10 @@
                     Watched::Failed => thread::sleep(Duration::from_millis(300)),
                 }
             };
-            thread::sleep(WATCH_PAUSE);
             if core.send(input).is_err() {
                 return;
             }
+            thread::sleep(pause.saturating_sub(asked.elapsed()));
         }
     })?;
     Ok(starts)
--- a/crates/core/src/actions/allocate.rs
+++ b/crates/core/src/actions/allocate.rs
@@ -10,9 +10,9 @@
 use crate::snapshot::{is_bound, Snapshot};
 use crate::statement::{Placement, Statement};
 use crate::tree::amounts;
-use crate::units::Resources;
+use crate::units::Time;
 use rudderreel_wire::ids::{JobId, Zone};
-use rudderreel_wire::job::{JobSpec, Kind};
+use rudderreel_wire::job::Kind;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// What makes tasks alike: if one does not fit, neither does another.
@@ -29,9 +29,11 @@
 }
 
 impl Shape {
-    fn of(spec: &JobSpec, need: &Resources) -> Self {
+    fn of(job: &Job, now: Time) -> Self {
+        let (spec, need) = (&job.spec, &job.need);
         // Tasks bound to where others of their job are can't be judged by another job's.
-        let bound = is_bound(spec);
+        // Nor can those of one that keeps off machines where it failed.
+        let bound = is_bound(spec) || job.failures.is_picky(now);
         Self {
             need: (need.cpus, need.gpus, need.memory),
             types: (spec.types.as_ref())
@@ -116,7 +118,7 @@
         let Some((leaf, job)) = next else {
             return placed;
         };
-        let shape = Shape::of(&job.spec, &job.need);
+        let shape = Shape::of(job, picture.now.time);
         let mut done = refused.contains(&shape);
         if !done {
             let got = place_some(lead, picture, job, picky);
@@ -152,9 +154,8 @@
 /// Tasks of which each changes where the next may go.
 fn place_each(lead: &Lead, picture: &mut Snapshot, job: &Job, picky: bool) -> Vec<Placement> {
     let skip = picture.taken(&job.spec.id);
-    let free = job.next_free(skip + CHUNK);
     let mut statement = Statement::default();
-    for &index in free.iter().skip(skip) {
+    for index in job.next_free(skip, CHUNK) {
         if !limits_allow(lead, picture, job) {
             break;
         }
@@ -169,8 +170,7 @@
 /// Tasks that are alike: the machines are ranked once and filled one after the other.
 fn place_alike(lead: &Lead, picture: &mut Snapshot, job: &Job) -> Vec<Placement> {
     let skip = picture.taken(&job.spec.id);
-    let free = job.next_free(skip + CHUNK);
-    let mut indexes = free.into_iter().skip(skip).peekable();
+    let mut indexes = job.next_free(skip, CHUNK).into_iter().peekable();
     let mut statement = Statement::default();
     for (at, count) in fit::ranked(lead, picture, job, None) {
         for _ in 0..count {
--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -118,12 +118,13 @@
 ) {
     for &job in waiting.iter().take(DEPTH) {
         // A gang of several tasks needs several machines emptied at once: see `reclaim_gang`.
-        if job.spec.kind == Kind::Gang && job.spec.tasks > 1 {
+        // What fails wherever it is tried stops nobody's work.
+        if job.spec.kind == Kind::Gang && job.spec.tasks > 1 || job.is_suspected() {
             continue;
         }
         let taken = picture.taken(&job.spec.id);
         let mut ranked: Option<VecDeque<usize>> = None;
-        for index in job.next_free(taken + TASKS).into_iter().skip(taken) {
+        for index in job.next_free(taken, TASKS) {
             let fits = picture.within_limits(lead, job, &amounts(&job.need))
                 && fit::best(lead, picture, job, true).is_none();
             if !fits {
--- a/crates/core/src/actions/fit.rs
+++ b/crates/core/src/actions/fit.rs
@@ -38,6 +38,7 @@
 pub fn suits(lead: &Lead, picture: &Snapshot, job: &Job, spot: &Spot) -> bool {
     allowed(&job.spec, &spot.machine_type, &spot.zone, spot.spot)
         && !is_kept(job, spot)
+        && !job.failures.avoids(&spot.id, picture.now.time)
         && !wastes_gpus(lead, job, spot)
         && zone_allows(picture, &job.spec, spot.zone_no)
 }
--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -33,7 +33,7 @@
     }
     picture.gathering.clear();
     let mut gangs: Vec<&Job> = (waiting.iter().copied())
-        .filter(|j| j.spec.kind == Kind::Gang && j.spec.tasks > 1 && !j.begun)
+        .filter(|j| j.spec.kind == Kind::Gang && j.spec.tasks > 1 && !j.begun && !j.is_suspected())
         .filter(|j| picture.taken(&j.spec.id) == 0)
         .collect();
     gangs.sort_by_key(|j| j.submitted);
--- a/crates/core/src/actions/reclaim_gang.rs
+++ b/crates/core/src/actions/reclaim_gang.rs
@@ -47,7 +47,7 @@
         return;
     }
     let gangs: Vec<&Job> = (waiting.iter().copied())
-        .filter(|j| j.spec.kind == Kind::Gang && j.spec.tasks > 1)
+        .filter(|j| j.spec.kind == Kind::Gang && j.spec.tasks > 1 && !j.is_suspected())
         .filter(|j| picture.taken(&j.spec.id) == 0 && stays_within(lead, picture, j))
         .take(GANGS)
         .collect();
--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -11,10 +11,12 @@
 
 use crate::core::Core;
 use crate::io::{StateAnswer, StateCall};
+use crate::job::Job;
 use crate::lead::Lead;
 use crate::possession::{Entry, Machine, Phase};
 use crate::records::{page_key, MachineLine, PageId, PageRecord, LEADER};
 use crate::recovery::{condition, put, LeadStep};
+use crate::task_set::TaskSet;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{JobId, MachineId, Version};
 use rudderreel_wire::state::{Change, Transaction};
@@ -31,6 +33,9 @@
 const FILL: f64 = 0.6;
 /// A transaction holds 64 KiB; a page leaves room for the rest of it.
 const PAGE_BYTES: usize = 40_000;
+/// What a job's progress takes, and each range of done tasks.
+const JOB_BYTES: usize = 40;
+const RANGE_BYTES: usize = 14;
 /// Pages that are left alone however little is on them.
 const FEW_PAGES: usize = 12;
 
@@ -53,7 +58,7 @@
 struct OpenPage {
     record: PageRecord,
     deletes: Vec<PageId>,
-    done: Vec<(JobId, BTreeSet<u32>)>,
+    done: Vec<(JobId, TaskSet)>,
     /// When it must be sent again.
     again: Option<Time>,
 }
@@ -62,7 +67,7 @@
 #[derive(Default)]
 struct Draft {
     record: PageRecord,
-    done: Vec<(JobId, BTreeSet<u32>)>,
+    done: Vec<(JobId, TaskSet)>,
     bytes: usize,
 }
 
@@ -131,11 +136,32 @@
         self.bytes += 7;
     }
 
-    fn add_progress(&mut self, job: &crate::job::Job) {
-        let ranges = job.progress_ranges();
-        self.bytes += 20 + job.spec.id.as_str().len() + 14 * ranges.len();
-        self.record.done.push((job.spec.id.clone(), ranges));
-        self.done.push((job.spec.id.clone(), job.done.clone()));
+    /// Adds what has been done of a job since, in a page of so many bytes; returns whether there was
+    /// room. Of a job with a great many tasks some may have to wait for a later page: then workers
+    /// go on reporting them as done.
+    fn add_new_progress(&mut self, job: &mut Job, most: usize) -> bool {
+        let left = most.saturating_sub(self.bytes + JOB_BYTES + job.spec.id.as_str().len());
+        let room = (left / RANGE_BYTES).max(1);
+        if room < job.recorded.ranges().count() && !self.is_empty() {
+            return false;
+        }
+        job.recorded = job.done.within(room, &job.recorded);
+        self.add_progress(job);
+        true
+    }
+
+    /// Adds what is recorded of a job.
+    fn add_progress(&mut self, job: &Job) {
+        let id = &job.spec.id;
+        let ranges: Vec<(u32, u32)> = job.recorded.ranges().collect();
+        self.bytes += JOB_BYTES + id.as_str().len() + RANGE_BYTES * ranges.len();
+        if job.is_suspected() {
+            self.record
+                .suspected
+                .push((id.clone(), job.failures.tries()));
+        }
+        self.record.done.push((id.clone(), ranges));
+        self.done.push((id.clone(), job.recorded.clone()));
     }
 
     fn is_empty(&self) -> bool {
@@ -178,12 +204,13 @@
         }
         if progress {
             for job in self.jobs.values_mut().filter(|j| j.progress_dirty) {
-                if draft.bytes >= most {
-                    break;
-                }
-                job.progress_dirty = false;
                 if job.is_active() && !job.is_complete() {
-                    draft.add_progress(job);
+                    if !draft.add_new_progress(job, most) {
+                        continue;
+                    }
+                    job.progress_dirty = !job.is_all_recorded();
+                } else {
+                    job.progress_dirty = false;
                 }
             }
         }
@@ -206,7 +233,8 @@
             }
         }
         for job in self.jobs.values().filter(|j| j.is_active()) {
-            add(job.page, 2);
+            // Counted like tasks, by the bytes that they take.
+            add(job.page, 2 + job.recorded.ranges().count() / 3);
         }
         weight
     }
@@ -295,10 +323,10 @@
             }
             for entry in machine.entries.iter_mut().filter(|e| !e.settled) {
                 // Only now may the worker forget it.
-                let done = |d: &&(JobId, BTreeSet<u32>)| d.0 == entry.task.job;
+                let done = |d: &&(JobId, TaskSet)| d.0 == entry.task.job;
                 if entry.phase == Phase::Exited(Cause::Done) {
                     entry.settled = (open.done.iter().find(done))
-                        .is_some_and(|(_, set)| set.contains(&entry.task.index));
+                        .is_some_and(|(_, set)| set.contains(entry.task.index));
                 }
             }
         }
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -28,7 +28,7 @@
         let rules = [
             (self.ready && self.lease_valid(now), "leading"),
             (job.is_active(), "job active"),
-            (!job.done.contains(&entry.task.index), "not done"),
+            (!job.done.contains(entry.task.index), "not done"),
             (!elsewhere, "nowhere else"),
             (entry.is_recorded() && entry.stop.is_none(), "recorded"),
             (machine.is_known(self.epoch) && fresh, "machine known"),
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -89,6 +89,16 @@
 /// A call that could not be made is tried again after so long.
 const NOT_CALLED: Span = Span(300);
 
+/// How many calls a second a node may make to the state service: the leader, which keeps the books,
+/// twice as many as others. Each node's watch has a part of its own.
+fn state_rate(settings: &Settings, leads: bool) -> f64 {
+    let parts = f64::from(settings.params.nodes.max(1) + 1);
+    settings.params.state.rps * CALLS_PART * if leads { 2.0 } else { 1.0 } / parts
+}
+
+/// The part of the state service's limit that calls may use; the rest is for watches.
+const CALLS_PART: f64 = 0.8;
+
 impl Core {
     /// A node that has just started.
     pub fn new(settings: Settings) -> Self {
@@ -109,7 +119,7 @@
             },
             catalog: None,
             directory: Directory::default(),
-            calls: StateCalls::new(settings.params.state.rps * 0.8 / nodes as f64),
+            calls: StateCalls::new(state_rate(&settings, false)),
             list_lag: Span::secs(settings.params.cloud.list_lag_s),
             cloud: CloudCalls::new(settings.params.cloud.rps * 0.9),
             election: Election::new(settings.node.clone(), nodes, rank),
@@ -238,6 +248,7 @@
             lead.learn_catalog(catalog.clone());
         }
         self.lead = Some(lead);
+        self.calls.set_rate(state_rate(&self.settings, true));
         self.cloud.clear();
         self.cloud.next_catalog = now.time;
         self.cloud.next_list = now.time;
@@ -251,6 +262,7 @@
             log::info!("no longer leading as {}: {why}", show(lead.epoch));
             let call = StateCall::EndLease(lead.lease_id);
             self.election_calls(vec![(call, Step::End)]);
+            self.calls.set_rate(state_rate(&self.settings, false));
             self.cloud.clear();
             let gone =
                 (self.directory.leader.as_ref()).is_some_and(|(_, r)| r.lease == lead.lease_id);
@@ -571,7 +583,7 @@
                 let counts: Vec<Count> = (lead.jobs.iter())
                     .map(|(id, job)| Count {
                         job: id.to_string(),
-                        done: job.done.len() as u32,
+                        done: job.done.len(),
                         running: running.get(id).copied().unwrap_or(0),
                     })
                     .collect();
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -80,7 +80,7 @@
             spare: vec![true; picture.spots.len()],
         };
         let mut jobs: Vec<&Job> = (self.jobs.values())
-            .filter(|j| j.is_active() && j.free_tasks() > 0 && j.errors < 4)
+            .filter(|j| j.is_active() && j.free_tasks() > 0 && !j.is_suspected())
             .collect();
         jobs.sort_by_cached_key(|j| j.order(self.is_overdue(j, now.wall)));
         for job in jobs {
@@ -192,7 +192,11 @@
         let age = Span(now.wall.0.saturating_sub(job.submitted.0)).as_secs();
         let each = spec.estimate_s.max(1.0);
         let rounds = (((aim - age - boot) * USE / each).floor()).max(1.0);
-        let placed = job.places.keys().filter(|i| !job.done.contains(i)).count() as u32;
+        let placed = job
+            .places
+            .keys()
+            .filter(|i| !job.done.contains(**i))
+            .count() as u32;
         let at_once = (f64::from(free + placed) / rounds).ceil() as u32;
         at_once.saturating_sub(placed).min(free)
     }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -1,11 +1,13 @@
 //! A job as the leader sees it.
 
+use crate::blame::Failures;
 use crate::records::PageId;
+use crate::task_set::TaskSet;
 use crate::units::{Resources, Span, Time, Wall};
 use rudderreel_wire::ids::{Attempt, JobId, MachineId, Version};
 use rudderreel_wire::job::{JobSpec, Kind, Priority};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Whether a job's work goes on.
@@ -37,15 +39,19 @@
     /// What one task takes.
     pub need: Resources,
     /// Tasks that are done.
-    pub done: BTreeSet<u32>,
+    pub done: TaskSet,
     /// Where tasks may be: everything that is not surely gone.
     pub places: BTreeMap<u32, Vec<(MachineId, Attempt)>>,
     /// No start before this moment, after failures.
     pub not_before: Time,
-    /// Failures in a row, with no success since.
-    pub errors: u32,
-    /// Tasks that are placed and not done.
-    open: u32,
+    /// What its failures show.
+    pub failures: Failures,
+    /// Tasks that are neither done nor anywhere.
+    idle: TaskSet,
+    /// Where tasks may be, each place counted.
+    placed: u32,
+    /// Tasks that are done and recorded, or being recorded.
+    pub recorded: TaskSet,
     /// The newest page that names all of its recorded progress.
     pub page: PageId,
     /// Whether `done` holds more than is recorded or being recorded.
@@ -63,15 +69,17 @@
     pub fn new(spec: JobSpec, version: Version, submitted: Wall) -> Self {
         Self {
             need: Resources::of_task(&spec),
+            idle: TaskSet::below(spec.tasks),
             spec: Arc::new(spec),
             version,
             submitted,
             stage: Stage::Active,
-            done: BTreeSet::new(),
+            done: TaskSet::default(),
             places: BTreeMap::new(),
             not_before: Time(0),
-            errors: 0,
-            open: 0,
+            failures: Failures::default(),
+            placed: 0,
+            recorded: TaskSet::default(),
             page: PageId::NONE,
             progress_dirty: false,
             committing: false,
@@ -87,7 +95,7 @@
 
     /// Whether all its tasks are done.
     pub fn is_complete(&self) -> bool {
-        self.spec.kind != Kind::Service && self.done.len() as u32 >= self.spec.tasks
+        self.spec.kind != Kind::Service && self.done.len() >= self.spec.tasks
     }
 
     /// Where it stands among waiting jobs: by priority, then what has waited too long for its first
@@ -95,7 +103,7 @@
     /// a rush one large job costs many small ones their time, but not the other way round. Without
     /// the second part a large job would never begin while small ones keep coming.
     pub fn order(&self, overdue: bool) -> Order {
-        let tasks = f64::from(self.spec.tasks.saturating_sub(self.done.len() as u32));
+        let tasks = f64::from(self.spec.tasks.saturating_sub(self.done.len()));
         let left = (tasks * self.spec.estimate_s.max(0.0) * 1000.0) as u64;
         (
             Reverse(self.spec.priority),
@@ -108,50 +116,51 @@
 
     /// Whether it has waited too long for its first start.
     pub fn is_overdue(&self, now: Wall, patience: Span) -> bool {
-        !self.begun && self.places.is_empty() && now.0 > self.submitted.0 + patience.0
+        !self.begun
+            && !self.is_suspected()
+            && self.places.is_empty()
+            && now.0 > self.submitted.0 + patience.0
     }
 
-    /// How many tasks are neither done nor anywhere.
+    /// How many tasks are neither done nor anywhere, and may be started.
     pub fn free_tasks(&self) -> u32 {
-        (self.spec.tasks)
-            .saturating_sub(self.done.len() as u32)
-            .saturating_sub(self.open)
+        let free = self.idle.len();
+        let open = self.spec.tasks.saturating_sub(free + self.done.len());
+        self.on_trial(free, open)
     }
 
     /// Notes that a task is done.
     pub fn finish(&mut self, index: u32) {
-        if self.done.insert(index) && self.places.contains_key(&index) {
-            self.open -= 1;
-        }
+        self.done.insert(index);
+        self.idle.remove(index);
     }
 
-    /// The first tasks that are neither done nor anywhere, at most `most`.
-    pub fn next_free(&self, most: usize) -> Vec<u32> {
-        (0..self.spec.tasks)
-            .filter(|i| !self.done.contains(i) && !self.places.contains_key(i))
-            .take(most)
-            .collect()
+    /// The first tasks that are neither done nor anywhere, after so many, at most `most`.
+    pub fn next_free(&self, skip: usize, most: usize) -> Vec<u32> {
+        let free = (self.free_tasks() as usize).saturating_sub(skip);
+        self.idle.iter().skip(skip).take(most.min(free)).collect()
     }
 
     /// Notes that a task may be on a machine.
     pub fn place(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
-        if !self.places.contains_key(&index) && !self.done.contains(&index) {
-            self.open += 1;
-        }
+        self.idle.remove(index);
         let places = self.places.entry(index).or_default();
         if !places.iter().any(|p| p.0 == *machine && p.1 == attempt) {
             places.push((machine.clone(), attempt));
+            self.placed += 1;
         }
     }
 
     /// Notes that a task is surely not on a machine any more.
     pub fn unplace(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
         if let Some(places) = self.places.get_mut(&index) {
+            let before = places.len();
             places.retain(|p| !(p.0 == *machine && p.1 == attempt));
+            self.placed -= (before - places.len()) as u32;
             if places.is_empty() {
                 self.places.remove(&index);
-                if !self.done.contains(&index) {
-                    self.open -= 1;
+                if !self.done.contains(index) && index < self.spec.tasks {
+                    self.idle.insert(index);
                 }
             }
         }
@@ -159,7 +168,7 @@
 
     /// How many tasks may be somewhere, each counted as often as it may be.
     pub fn placed(&self) -> u32 {
-        self.places.values().map(Vec::len).sum::<usize>() as u32
+        self.placed
     }
 
     /// Whether it may be evicted to make room. Work at priority 100 or above is not, and in
@@ -168,26 +177,21 @@
         !is_firm(&self.spec)
     }
 
-    /// Its progress as it is recorded.
-    pub fn progress_ranges(&self) -> Vec<(u32, u32)> {
-        let mut done: Vec<(u32, u32)> = Vec::new();
-        for &i in &self.done {
-            match done.last_mut() {
-                Some((_, end)) if *end + 1 == i => *end = i,
-                _ => done.push((i, i)),
-            }
-        }
-        done
+    /// Whether everything that is done is recorded or being recorded.
+    pub fn is_all_recorded(&self) -> bool {
+        self.recorded.len() == self.done.len()
     }
 
     /// Takes in recorded progress.
     pub fn learn_progress(&mut self, page: PageId, ranges: &[(u32, u32)]) {
         self.page = self.page.max(page);
         self.begun = true;
+        self.failures.proven |= !ranges.is_empty();
         let last = self.spec.tasks.saturating_sub(1);
         for &(from, to) in ranges {
             for index in from..=to.min(last) {
                 self.finish(index);
+                self.recorded.insert(index);
             }
         }
     }
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -481,14 +481,8 @@
         }
         self.wake(now.time);
         if let Some(m) = self.machines.get_mut(machine) {
-            match why {
-                Cause::Done => m.errors = 0,
-                Cause::Error => {
-                    m.errors += 1;
-                    m.quarantine = now.time + Span(2_000 << m.errors.min(6));
-                }
-                Cause::NoRoom => m.quarantine = now.time + Span(1_000),
-                _ => {}
+            if why == Cause::NoRoom {
+                m.quarantine = m.quarantine.max(now.time + Span(1_000));
             }
             if why != Cause::Done {
                 if let Some(entry) = m.entry_mut(task, attempt) {
@@ -504,7 +498,6 @@
         let over = !job.is_active();
         match why {
             Cause::Done => {
-                job.errors = 0;
                 job.begun = true;
                 job.progress_dirty = true;
                 job.longest_run_s = job.longest_run_s.max(ran.unwrap_or_default().as_secs());
@@ -517,10 +510,10 @@
                     // Its end is committed already.
                     self.settle(machine, task, attempt);
                 }
+                self.succeeded(machine, &task.job, now.time);
             }
             Cause::Error => {
-                job.errors += 1;
-                job.not_before = now.time + Span(500 << job.errors.min(7));
+                self.failed(machine, task, attempt, ran, now);
                 self.break_gang(task, attempt, now.time);
             }
             Cause::Unknown => job.not_before = now.time + Span(2_000),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod actions;
 mod admin;
+mod blame;
 mod books;
 mod capacity;
 mod demand;
@@ -22,6 +23,7 @@
 mod snapshot;
 mod state_calls;
 mod statement;
+mod task_set;
 #[cfg(test)]
 mod testing;
 mod tree;
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -14,7 +14,7 @@
 use crate::records::PageId;
 use crate::units::{Resources, Span, Time, Wall};
 use rudderreel_wire::ids::{
-    Attempt, Epoch, Image, MachineId, Seq, Session, TaskId, TypeName, Zone,
+    Attempt, Epoch, Image, JobId, MachineId, Seq, Session, TaskId, TypeName, Zone,
 };
 use rudderreel_wire::job::JobSpec;
 use rudderreel_wire::worker::{Cause, Report, TaskReport, TaskState};
@@ -182,8 +182,10 @@
     pub since: Wall,
     /// Since when nothing has been on it.
     pub idle: Option<Time>,
-    /// Errors of tasks in a row.
-    pub errors: u32,
+    /// Jobs that failed on it with nothing else speaking against them, and when.
+    pub blamed: Vec<(JobId, Time)>,
+    /// Whether a task was ever completed on it.
+    pub proven: bool,
     /// No starts before this moment, after errors.
     pub quarantine: Time,
     /// Nothing new before this moment: it is being emptied.
@@ -240,7 +242,8 @@
             returning: None,
             since,
             idle: None,
-            errors: 0,
+            blamed: Vec::new(),
+            proven: false,
             quarantine: Time(0),
             cordon: Time(0),
             listed: false,
--- a/crates/core/src/reads.rs
+++ b/crates/core/src/reads.rs
@@ -15,7 +15,7 @@
 use rudderreel_wire::job::{JobAnswer, JobSpec, JobState, JobStatus, Kind};
 use rudderreel_wire::peer::Forward;
 use rudderreel_wire::state::{Change, Condition, Transaction};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A user's request that is being served.
 #[derive(Clone, Debug)]
@@ -38,11 +38,20 @@
     /// Cancel the job.
     Cancel(Waiting, Box<JobRecord>),
     /// Confirm cached versions.
-    Confirm(Vec<(JobId, Version)>, Vec<Waiting>),
+    Confirm(BTreeMap<JobId, Version>, Vec<Waiting>),
+    /// Read a job whose cached version was out of date, for all that ask about it.
+    ReadFor(JobId, Vec<Waiting>),
 }
 
-/// How long requests are collected before they are confirmed together.
+/// How long requests are collected before they are confirmed together, at least.
 const GATHER: Span = Span(15);
+/// Confirmations may use this part of a node's calls to the state service. So they cost more with
+/// the jobs asked about and with time, but not with how often users ask.
+const CONFIRM_PART: f64 = 0.3;
+/// Commits that confirm at one time; what does not fit waits for the next.
+const BATCHES: usize = 2;
+/// Questions that may wait to be confirmed; one more is refused.
+const MAX_GATHERED: usize = 2_000;
 /// A request that took longer is answered 503 rather than tried again.
 const PATIENCE: Span = Span(1_500);
 /// When to come back after a 503.
@@ -53,8 +62,10 @@
 /// Users' requests that wait for a confirmation.
 #[derive(Default)]
 pub struct Reads {
-    gather: Vec<Waiting>,
+    gather: VecDeque<Waiting>,
     gather_since: Option<Time>,
+    /// When the next confirmation may go out.
+    next_confirm: Time,
     /// Requests that a peer was asked to serve.
     pub forwarded: BTreeMap<ReqId, Waiting>,
     /// Administrators' requests that the leader was asked to serve.
@@ -110,10 +121,9 @@
             (UserRequest::Withdraw(_), Some(known)) => {
                 self.cancel(waiting, known.version, known.record, now)
             }
-            (_, Some(_)) => {
-                self.reads.gather_since.get_or_insert(now.time);
-                self.reads.gather.push(waiting);
-            }
+            (_, Some(_)) => self.gather(waiting, now),
+            // That there is no such job is confirmed like anything else.
+            (UserRequest::Status(_), None) if self.directory.complete => self.gather(waiting, now),
             (UserRequest::Submit(spec), None) => match self.never_runs(spec) {
                 Some(Ok(())) => self.create(waiting, now),
                 Some(Err(_)) => self.read(waiting),
@@ -123,6 +133,14 @@
         }
     }
 
+    fn gather(&mut self, waiting: Waiting, now: Now) {
+        if self.reads.gather.len() >= MAX_GATHERED {
+            return self.refuse(waiting.req, "too many questions wait");
+        }
+        self.reads.gather_since.get_or_insert(now.time);
+        self.reads.gather.push_back(waiting);
+    }
+
     fn user_call(&mut self, call: StateCall, step: UserStep) {
         self.reads.open += 1;
         self.calls.call(Urgency::User, call, Purpose::User(step));
@@ -183,29 +201,42 @@
 
     /// Sends confirmations that are due.
     pub(crate) fn confirm(&mut self, now: Now) {
-        let due = (self.reads.gather_since).is_some_and(|t| now.time >= t + GATHER);
+        let due = (self.reads.gather_since)
+            .is_some_and(|t| now.time >= self.reads.next_confirm.max(t + GATHER));
         if !due {
             return;
         }
-        self.reads.gather_since = None;
-        let all = std::mem::take(&mut self.reads.gather);
+        let pause = 1.0 / (self.calls.rate() * CONFIRM_PART).max(0.1);
+        self.reads.next_confirm = now.time + Span::secs(pause);
+        for _ in 0..BATCHES {
+            self.confirm_some(now);
+        }
+        let left = !self.reads.gather.is_empty();
+        self.reads.gather_since = left.then_some(now.time);
+    }
+
+    /// Confirms what fits into a commit, the longest waiting first.
+    fn confirm_some(&mut self, now: Now) {
         let most = 4 * self.settings.params.state.txn_ops;
         let mut batch: BTreeMap<JobId, Version> = BTreeMap::new();
         let mut members = Vec::new();
-        for waiting in all {
+        while let Some(waiting) = self.reads.gather.pop_front() {
             if let Some(record) = self.final_record(waiting.job()) {
                 self.tell(&waiting, &record, now);
                 continue;
             }
-            let Some(known) = self.directory.jobs.get(waiting.job()) else {
-                self.read(waiting);
+            if now.time > waiting.since + PATIENCE {
+                self.refuse(waiting.req, "too many questions wait");
                 continue;
-            };
-            batch.insert(waiting.job().clone(), known.version);
-            members.push(waiting);
-            if batch.len() >= most {
-                self.send_batch(std::mem::take(&mut batch), std::mem::take(&mut members));
             }
+            if batch.len() >= most && !batch.contains_key(waiting.job()) {
+                self.reads.gather.push_front(waiting);
+                break;
+            }
+            let known = self.directory.jobs.get(waiting.job());
+            let version = known.map_or(Version(0), |k| k.version);
+            batch.insert(waiting.job().clone(), version);
+            members.push(waiting);
         }
         if !members.is_empty() {
             self.send_batch(batch, members);
@@ -223,7 +254,7 @@
             conditions,
             changes: Vec::new(),
         });
-        let step = UserStep::Confirm(batch.into_iter().collect(), members);
+        let step = UserStep::Confirm(batch, members);
         self.user_call(call, step);
     }
 
@@ -237,6 +268,7 @@
             UserStep::Confirm(versions, members) => {
                 self.was_confirmed(versions, members, answer, now)
             }
+            UserStep::ReadFor(id, members) => self.was_read_for(id, members, answer, now),
         }
     }
 
@@ -261,7 +293,7 @@
                     Some(Err(why)) => self.answer(waiting.req, 422, error_body(why)),
                     None => self.refuse(waiting.req, "the machine types are not known yet"),
                 },
-                _ => self.answer(waiting.req, 404, error_body("no such job")),
+                _ => self.no_such_job(&waiting),
             },
             _ => self.forward_or_refuse(waiting, now),
         }
@@ -314,7 +346,7 @@
 
     fn was_confirmed(
         &mut self,
-        versions: Vec<(JobId, Version)>,
+        versions: BTreeMap<JobId, Version>,
         members: Vec<Waiting>,
         answer: StateAnswer,
         now: Now,
@@ -329,16 +361,50 @@
                 return;
             }
         };
+        let stale: BTreeSet<&str> = stale.iter().filter_map(|k| k.strip_prefix(JOBS)).collect();
+        let mut again: BTreeMap<JobId, Vec<Waiting>> = BTreeMap::new();
         for waiting in members {
             let id = waiting.job();
-            let fresh = versions.iter().any(|(v, _)| v == id)
-                && !stale
-                    .iter()
-                    .any(|key| key.strip_prefix(JOBS) == Some(id.as_str()));
             let record = self.directory.jobs.get(id).map(|k| k.record.clone());
-            match record {
-                Some(record) if fresh => self.tell(&waiting, &record, now),
-                _ => self.again(waiting, now),
+            let fresh = !stale.contains(id.as_str());
+            match (record, versions.get(id)) {
+                // What the cache has learned since is newer still.
+                (Some(record), Some(version)) if fresh && *version != Version(0) => {
+                    self.tell(&waiting, &record, now)
+                }
+                (_, Some(Version(0))) if fresh => self.no_such_job(&waiting),
+                _ => again.entry(id.clone()).or_default().push(waiting),
+            }
+        }
+        for (id, members) in again {
+            let call = StateCall::Get(job_key(&id));
+            self.user_call(call, UserStep::ReadFor(id, members));
+        }
+    }
+
+    fn no_such_job(&mut self, waiting: &Waiting) {
+        self.answer(waiting.req, 404, error_body("no such job"));
+    }
+
+    /// The answer to a read for all that ask about a job.
+    fn was_read_for(&mut self, id: JobId, members: Vec<Waiting>, answer: StateAnswer, now: Now) {
+        let record = match answer {
+            StateAnswer::Found(item) => match serde_json::from_value::<JobRecord>(item.value) {
+                Ok(record) => {
+                    self.directory.learn_job(id, item.version, record.clone());
+                    Some(record)
+                }
+                Err(_) => None,
+            },
+            StateAnswer::Missing => {
+                return members.iter().for_each(|w| self.no_such_job(w));
+            }
+            _ => None,
+        };
+        for waiting in members {
+            match &record {
+                Some(record) => self.tell(&waiting, record, now),
+                None => self.forward_or_refuse(waiting, now),
             }
         }
     }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -127,6 +127,9 @@
     /// Which tasks of jobs are done: ranges with both ends included.
     #[serde(rename = "d", skip_serializing_if = "Vec::is_empty", default)]
     pub done: Vec<(JobId, Vec<(u32, u32)>)>,
+    /// Jobs that are suspected of a mistake, with the tries that failed.
+    #[serde(rename = "f", skip_serializing_if = "Vec::is_empty", default)]
+    pub suspected: Vec<(JobId, u32)>,
 }
 
 /// A machine on a page.
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -15,6 +15,7 @@
 use rudderreel_wire::ids::{Epoch, JobId, Session, Version};
 use rudderreel_wire::state::{Change, Condition, Page, Transaction};
 use rudderreel_wire::worker::Cause;
+use std::collections::BTreeSet;
 
 /// What a call of the leader is for.
 #[derive(Clone, Debug)]
@@ -24,8 +25,8 @@
     ReadBack(&'static str, Option<String>),
     /// Record a page of the books.
     Page(PageId),
-    /// Record that a job is done.
-    Complete(JobId),
+    /// Record that jobs are done.
+    Complete(Vec<JobId>),
     /// See what a job's key holds after a commit that failed.
     JobAgain(JobId),
     /// Raise the epoch.
@@ -39,6 +40,9 @@
 /// A page that could not be read is asked for again after so long.
 const AGAIN: Span = Span(150);
 
+/// Jobs whose completion one commit records, at most.
+const COMPLETIONS: usize = 16;
+
 /// In the order in which they are read back: jobs come before what refers to them.
 const PREFIXES: [&str; 2] = [JOBS, BOOKS];
 
@@ -66,7 +70,7 @@
         match step {
             LeadStep::ReadBack(prefix, after) => self.page_back(prefix, after, answer, now),
             LeadStep::Page(page) => self.page_answered(page, answer, now),
-            LeadStep::Complete(id) => self.completed(id, answer, now),
+            LeadStep::Complete(ids) => self.completed(ids, answer, now),
             LeadStep::JobAgain(id) => self.job_again(id, answer),
             LeadStep::Raise(epoch) => self.raised(epoch, answer, now),
             LeadStep::RaiseAgain(epoch) => self.raise_seen(epoch, answer, now),
@@ -186,54 +190,74 @@
             return;
         };
         let leading = lead.leading();
-        let mut calls = Vec::new();
         let due = |j: &&mut Job| !j.committing && j.is_active() && j.is_complete();
-        for job in lead.jobs.values_mut().filter(due) {
-            job.committing = true;
-            let key = job_key(&job.spec.id);
-            let record = JobRecord::done(job.spec.tasks, job.submitted);
+        let mut done: Vec<&mut Job> = lead.jobs.values_mut().filter(due).collect();
+        let mut calls = Vec::new();
+        // Many small jobs end at a time: one commit for several.
+        for jobs in done.chunks_mut(lead.page_ops.min(COMPLETIONS)) {
+            let mut conditions = vec![leading.clone()];
+            let mut changes = Vec::new();
+            for job in jobs.iter_mut() {
+                job.committing = true;
+                let key = job_key(&job.spec.id);
+                let record = JobRecord::done(job.spec.tasks, job.submitted);
+                conditions.push(condition(key.clone(), job.version));
+                changes.push(put(key, &record));
+            }
+            let ids = jobs.iter().map(|j| j.spec.id.clone()).collect();
             let call = StateCall::Commit(Transaction {
-                conditions: vec![leading.clone(), condition(key.clone(), job.version)],
-                changes: vec![put(key, &record)],
+                conditions,
+                changes,
             });
-            calls.push((call, LeadStep::Complete(job.spec.id.clone())));
+            calls.push((call, LeadStep::Complete(ids)));
         }
         for (call, step) in calls {
             self.lead_call(call, step);
         }
     }
 
-    fn completed(&mut self, id: JobId, answer: StateAnswer, now: Now) {
+    fn completed(&mut self, ids: Vec<JobId>, answer: StateAnswer, now: Now) {
         if self.lost_by(&answer) {
             return;
         }
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        match answer {
+        let unsure: Vec<JobId> = match answer {
             StateAnswer::Committed(version) => {
+                let ended: BTreeSet<&JobId> = ids.iter().collect();
                 for entry in lead.machines.values_mut().flat_map(|m| &mut m.entries) {
                     let done = entry.phase == Phase::Exited(Cause::Done);
-                    entry.settled |= done && entry.task.job == id;
+                    entry.settled |= done && ended.contains(&entry.task.job);
                 }
-                if let Some(job) = lead.jobs.get_mut(&id) {
-                    log::info!("{id} is done");
-                    job.committing = false;
-                    let record = JobRecord::done(job.spec.tasks, job.submitted);
-                    lead.finish(&id);
-                    self.directory.learn_job(id, version, record);
+                for id in ids {
+                    if let Some(job) = lead.jobs.get_mut(&id) {
+                        log::info!("{id} is done");
+                        job.committing = false;
+                        let record = JobRecord::done(job.spec.tasks, job.submitted);
+                        lead.finish(&id);
+                        self.directory.learn_job(id, version, record);
+                    }
                 }
                 lead.wake(now.time);
+                Vec::new()
             }
             StateAnswer::Refused => {
-                if let Some(job) = lead.jobs.get_mut(&id) {
-                    job.committing = false;
-                }
+                lead.commit_again(&ids);
+                Vec::new()
             }
-            _ => {
-                let call = StateCall::Get(job_key(&id));
-                self.lead_call(call, LeadStep::JobAgain(id));
+            StateAnswer::Conflict(keys) if !keys.is_empty() => {
+                // The others were not at fault, and are tried again without these.
+                let (named, others): (Vec<_>, Vec<_>) =
+                    ids.into_iter().partition(|id| keys.contains(&job_key(id)));
+                lead.commit_again(&others);
+                named
             }
+            _ => ids,
+        };
+        for id in unsure {
+            let call = StateCall::Get(job_key(&id));
+            self.lead_call(call, LeadStep::JobAgain(id));
         }
     }
 
@@ -349,6 +373,15 @@
 }
 
 impl Lead {
+    /// Jobs whose completion was not committed: it is tried again.
+    fn commit_again(&mut self, ids: &[JobId]) {
+        for id in ids {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.committing = false;
+            }
+        }
+    }
+
     /// Tells this lead from others of the same node: answers to calls of an earlier one are
     /// dropped.
     pub fn epoch_id(&self) -> u64 {
@@ -365,6 +398,10 @@
         self.books.learn(page);
         for (id, ranges) in record.done {
             if let Some(job) = self.jobs.get_mut(&id) {
+                if page >= job.page {
+                    let tries = record.suspected.iter().find(|(of, _)| *of == id);
+                    job.failures.recall(tries.map_or(0, |t| t.1));
+                }
                 job.learn_progress(page, &ranges);
             }
         }
--- a/crates/core/src/state_calls.rs
+++ b/crates/core/src/state_calls.rs
@@ -23,6 +23,8 @@
     filled: Time,
     queues: [VecDeque<(StateCall, P)>; 3],
     open: HashMap<CallId, P>,
+    /// Whose turn it is when both users' calls and the leader's wait.
+    books_next: bool,
 }
 
 /// Calls that may be open at once: more would only queue up in the shell.
@@ -38,9 +40,20 @@
             filled: Time(0),
             queues: Default::default(),
             open: HashMap::new(),
+            books_next: false,
         }
     }
 
+    /// This node's part has changed: how many calls a second it may make now.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    /// How many calls a second this node may make.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Queues a call.
     pub fn call(&mut self, urgency: Urgency, call: StateCall, purpose: P) {
         self.queues[urgency as usize].push_back((call, purpose));
@@ -62,19 +75,36 @@
         self.tokens += (now - self.filled).as_secs() * self.rate;
         self.tokens = self.tokens.min(self.rate / 2.0 + 1.0);
         self.filled = now;
-        for (level, queue) in self.queues.iter_mut().enumerate() {
-            // Leases may use the last tokens; the rest leaves some for them.
-            let floor = level as f64;
-            while self.tokens >= 1.0 + floor && self.open.len() < MAX_OPEN + 4 - 2 * level {
-                let Some((call, purpose)) = queue.pop_front() else {
-                    break;
-                };
-                self.tokens -= 1.0;
-                self.next += 1;
-                self.open.insert(CallId(self.next), purpose);
-                out.push(Output::State(CallId(self.next), call));
+        while let Some((call, purpose)) = self.next_call() {
+            self.tokens -= 1.0;
+            self.next += 1;
+            self.open.insert(CallId(self.next), purpose);
+            out.push(Output::State(CallId(self.next), call));
+        }
+    }
+
+    /// The next call that may go out. Leases may use the last tokens. Users' calls and the leader's
+    /// take turns: whichever always went first could keep the other waiting for ever. (A leader that
+    /// got many questions once read its books back for 690 s, and nothing ran meanwhile.)
+    fn next_call(&mut self) -> Option<(StateCall, P)> {
+        let (tokens, open) = (self.tokens, self.open.len());
+        if tokens >= 1.0 && open < MAX_OPEN + 4 {
+            if let Some(call) = self.queues[Urgency::Lease as usize].pop_front() {
+                return Some(call);
             }
         }
+        if tokens < 2.0 || open >= MAX_OPEN {
+            return None;
+        }
+        let (users, books) = (Urgency::User as usize, Urgency::Books as usize);
+        let order = if self.books_next {
+            [books, users]
+        } else {
+            [users, books]
+        };
+        let level = order.into_iter().find(|l| !self.queues[*l].is_empty())?;
+        self.books_next = level == users;
+        self.queues[level].pop_front()
     }
 }
 
@@ -96,4 +126,28 @@
         calls.pump(Time(2_000), &mut out);
         assert!(!out.is_empty() && !calls.is_behind());
     }
+
+    /// A leader to which users put more questions than it may ask on never read its books back.
+    #[test]
+    fn neither_users_nor_the_leader_wait_for_ever() {
+        let mut calls = StateCalls::new(10.0);
+        let mut out = Vec::new();
+        let key = |s: &str| StateCall::Get(s.into());
+        calls.call(Urgency::Books, key("book/1"), "books");
+        for second in 1..4u64 {
+            for _ in 0..20 {
+                calls.call(Urgency::User, key("pub/job/wk-1"), "user");
+            }
+            calls.pump(Time(second * 1_000), &mut out);
+            let ids: Vec<CallId> = calls.open.keys().copied().collect();
+            for id in ids {
+                calls.finish(id);
+            }
+        }
+        let asked = |name: &str| {
+            let of = |o: &&Output| matches!(o, Output::State(_, StateCall::Get(k)) if k.starts_with(name));
+            out.iter().filter(of).count()
+        };
+        assert_eq!((asked("book/"), asked("pub/") > 8), (1, true));
+    }
 }
