A team without a quota is promised nothing beside teams that have one

It now has its part of what is left, by priority and weight; a group without a quota is promised what those below it are. Compared with the plain model, in which a seventh of the teams are guests; with the old rule that and a_guest_without_a_quota_is_promised_nothing fail (9.18 of 10 for the guest).

--- a/crates/core/src/fair_share.rs
+++ b/crates/core/src/fair_share.rs
@@ -3,6 +3,10 @@
 //! The article's phase one hands out `min(quota, requested)` and assumes that quotas are backed.
 //! Where they add up to more than there is, they are scaled down evenly here, so that the shares
 //! never promise room that does not exist.
+//!
+//! A team without any quota may run work of priority 100 or above (its quota counts as unlimited
+//! there), but is promised nothing: beside teams that have a guarantee it would otherwise claim all it
+//! asks for in phase one. It gets its part of what is left, by priority and weight.
 
 use crate::tree::{Amounts, TeamTree, KINDS};
 
@@ -46,8 +50,9 @@
     amount: f64,
     kind: usize,
 ) -> Vec<f64> {
-    let quota = |c: &usize| tree.nodes[*c].quota[kind].min(wanted[*c]);
-    let mut given: Vec<f64> = children.iter().map(quota).collect();
+    let mut given: Vec<f64> = (children.iter())
+        .map(|&c| promised(tree, c, wanted, kind))
+        .collect();
     let promised: f64 = given.iter().sum();
     if promised > amount {
         let scale = if promised > 0.0 {
@@ -68,6 +73,18 @@
     given
 }
 
+/// What a node is promised of what it wants: its quota. One without is promised what those below it
+/// are.
+fn promised(tree: &TeamTree, node: usize, wanted: &[f64], kind: usize) -> f64 {
+    let quota = tree.nodes[node].quota[kind];
+    let below = || -> f64 {
+        let children = tree.children(node).into_iter();
+        children.map(|c| promised(tree, c, wanted, kind)).sum()
+    };
+    let due = if quota.is_finite() { quota } else { below() };
+    due.min(wanted[node])
+}
+
 /// Gives what is left to one priority, by weight, until it is used up or nobody wants more.
 fn surplus(
     tree: &TeamTree,
@@ -137,7 +154,8 @@
         const CRUMB: f64 = 0.005;
         let mut given = vec![0.0; teams.len()];
         let mut left = total;
-        let due: Vec<f64> = teams.iter().map(|t| t.0.min(t.3).min(t.1)).collect();
+        let quota = |q: f64| if q.is_finite() { q } else { 0.0 };
+        let due: Vec<f64> = teams.iter().map(|t| quota(t.0).min(t.3).min(t.1)).collect();
         loop {
             let next = (0..teams.len())
                 .filter(|&i| given[i] + CRUMB <= due[i] + 1e-9)
@@ -168,8 +186,10 @@
 
     fn team() -> impl Strategy<Value = (f64, f64, f64, f64, i32)> {
         // Quota, limit, weight, request, priority.
-        (0..6u32, 4..12u32, 1..4u32, 0..12u32, 0..2i32)
-            .prop_map(|(q, l, w, r, p)| (f64::from(q), f64::from(l), f64::from(w), f64::from(r), p))
+        // A quota of 6 stands for none: a guest.
+        let quota = |q: u32| if q < 6 { f64::from(q) } else { f64::INFINITY };
+        (0..7u32, 4..12u32, 1..4u32, 0..12u32, 0..2i32)
+            .prop_map(move |(q, l, w, r, p)| (quota(q), f64::from(l), f64::from(w), f64::from(r), p))
     }
 
     proptest! {
@@ -212,6 +232,24 @@
         assert_eq!(of_cpus, vec![12.0, 8.0, 4.0, 6.0, 2.0]);
     }
 
+    /// A guest that asked for much claimed most of the room in phase one, and teams within their
+    /// guarantees waited. In a group without a quota of its own, guarantees still hold.
+    #[test]
+    fn a_guest_without_a_quota_is_promised_nothing() {
+        let mut tree = TeamTree::from_limits(&[]);
+        let none = f64::INFINITY;
+        tree.nodes.push(node(Some(0), none, none, 1.0, 0));
+        tree.nodes.push(node(Some(0), none, none, 1.0, 0));
+        tree.nodes.push(node(Some(2), 8.0, none, 1.0, 0));
+        let want = |team: f64| [[0.0; KINDS], [90.0; KINDS], [0.0; KINDS], [team; KINDS]];
+        let shares = |team| {
+            let got = fair_shares(&tree, [10.0; KINDS], &want(team));
+            [got[1][0], got[2][0], got[3][0]]
+        };
+        assert_eq!(shares(8.0), [2.0, 8.0, 8.0]);
+        assert_eq!(shares(2.0), [8.0, 2.0, 2.0]);
+    }
+
     /// The design's doubt: where the cloud can't deliver, quotas promise room that is not there.
     #[test]
     fn quotas_that_are_not_backed_are_scaled_down_evenly() {
