--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -35,6 +35,8 @@
 const MANY: usize = 24;
 const ZONE_SILENT: Span = Span(1_000);
 const PAUSES: u64 = 10;
+/// A worker waits 4 s for an answer and one more before it tries another node.
+const SEEKING: Span = Span(6_500);
 /// Machines behind a cut are kept for so many leases.
 const KEPT: u64 = 4;
 
@@ -44,9 +46,11 @@
         Span(self.report.0 * 5 / 4 + 500)
     }
 
-    /// A machine that was not heard for so long has missed several reports.
+    /// A machine that was not heard for so long is silent. A worker whose node is gone or cut off
+    /// waits for its answer, finds another node and reports again, which takes this long without
+    /// anything being wrong with it.
     fn silence(&self) -> Span {
-        Span((self.report.0 * 3).min(self.lease.0 * 3 / 4) + 1_000)
+        Span((self.report.0 * 3 / 2 + SEEKING.0).min(self.lease.0 * 3 / 4 + 1_000))
     }
 
     /// Whether most machines that were ever heard were heard lately, and some this moment: if not,
