After a node ends its workers get time: no early returns, few before a silent node

What was to be gone before the leader came now gets the time that a worker needs, asked for by a direct call at once; workers are kept off a node whose successor is silent.

--- a/crates/core/src/fair_share.rs
+++ b/crates/core/src/fair_share.rs
@@ -188,8 +188,9 @@
         // Quota, limit, weight, request, priority.
         // A quota of 6 stands for none: a guest.
         let quota = |q: u32| if q < 6 { f64::from(q) } else { f64::INFINITY };
-        (0..7u32, 4..12u32, 1..4u32, 0..12u32, 0..2i32)
-            .prop_map(move |(q, l, w, r, p)| (quota(q), f64::from(l), f64::from(w), f64::from(r), p))
+        (0..7u32, 4..12u32, 1..4u32, 0..12u32, 0..2i32).prop_map(move |(q, l, w, r, p)| {
+            (quota(q), f64::from(l), f64::from(w), f64::from(r), p)
+        })
     }
 
     proptest! {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -39,6 +39,9 @@
 const TRIAL: Span = Span(1_000);
 /// A report weighs so much more at the leader, which has other things to do.
 const LEADER_WEIGHT: u32 = 3;
+/// And to one before a node that has not been heard for so long.
+const LAST_WEIGHT: u32 = 4;
+const SILENT: Span = Span(3_000);
 /// How uneven the nodes' loads may be.
 const UNEVEN: u32 = 8;
 
@@ -153,24 +156,37 @@
         (peer.leads && now < peer.heard + Span(1_500)).then(|| record.node.clone())
     }
 
+    /// Whether the node after one, by name, has been silent for a while. A worker whose node ends or
+    /// freezes waits 4 s for its answer and then tries the next; if that is gone, too, the lease is
+    /// nearly over before it finds a third.
+    fn next_is_silent(&self, name: &NodeName, now: Time) -> bool {
+        let me = &self.settings.node;
+        let names = || self.peers.keys().chain([me]);
+        let next = (names().filter(|n| *n > name).min()).or_else(|| names().min());
+        (next.and_then(|n| self.peers.get(n))).is_some_and(|p| now > p.heard + SILENT)
+    }
+
     /// A node that a worker should rather report to, since it has far fewer of them.
     pub(crate) fn lighter(&mut self, machine: &MachineId, now: Time) -> Option<NodeName> {
         let known = self.relay.workers.contains_key(machine);
         let report = self.report_interval();
         let mine = self.relay.workers(now, report) + u32::from(!known);
-        let mine = mine
-            * if self.lead.is_some() {
-                LEADER_WEIGHT
+        let weight = |leads: bool, name: &NodeName| {
+            let lead = if leads { LEADER_WEIGHT } else { 1 };
+            let last = if self.next_is_silent(name, now) {
+                LAST_WEIGHT
             } else {
                 1
             };
+            lead * last
+        };
+        let mine = mine * weight(self.lead.is_some(), &self.settings.node);
         let (load, peer) = (self.peers.iter())
             .filter(|(_, p)| now < p.heard + Span(1_500) && p.passes)
             .filter(|(name, p)| self.relay.may_send(name, p, report, now))
             .map(|(name, p)| {
-                let weight = if p.leads { LEADER_WEIGHT } else { 1 };
                 let sent = self.relay.sent.get(name).copied().unwrap_or(0);
-                ((p.workers + sent) * weight, name)
+                ((p.workers + sent) * weight(p.leads, name), name)
             })
             .min()?;
         // Workers that are here already move only if it is worth while.
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -49,7 +49,7 @@
     /// A machine that was not heard for so long is silent. A worker whose node is gone or cut off
     /// waits for its answer, finds another node and reports again, which takes this long without
     /// anything being wrong with it.
-    fn silence(&self) -> Span {
+    pub(crate) fn silence(&self) -> Span {
         Span((self.report.0 * 3 / 2 + SEEKING.0).min(self.lease.0 * 3 / 4 + 1_000))
     }
 
@@ -226,7 +226,11 @@
                 let just_now = suspicious && now - last > JUST_NOW && m.holds_firm();
                 m.unanswered > 0 || now - last > late || just_now
             }
-            None => m.addr.is_some() && !m.entries.is_empty() && now - self.since > late,
+            // What has to be stopped is asked for at once.
+            None => {
+                let stops = m.entries.iter().any(|e| e.stop.is_some());
+                m.addr.is_some() && !m.entries.is_empty() && (stops || now - self.since > late)
+            }
         };
         let open = (self.machines.values()).filter(|m| m.direct_open).count();
         let mut found: Vec<&Machine> = (self.machines.values())
@@ -326,7 +330,7 @@
     #[test]
     fn silent_machines_among_others_are_lost() {
         let heard = ["vm-b0", "vm-b1", "vm-b2", "vm-b3", "vm-b4"];
-        let (lead, now) = half_silent(&heard, Span(5_000));
+        let (lead, now) = half_silent(&heard, Span(5_600));
         assert!(lead.dark.is_empty());
         assert_eq!(lead.lost(now), BTreeMap::from([("vm-b5".into(), "silent")]));
     }
