--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -364,13 +364,10 @@
     let in_good_time = past > Span(cancel.0 / 2) && led > silence && silent;
     // What was to be gone before this leader came was seen to by the one before; the books may still
     // name it. A worker of a node that has ended takes a while to find another.
-    let heard = if past > cancel + led && m.last_heard.is_none() {
-        silence
-    } else {
-        Span(report.0 * 2)
-    };
-    let at_last = past + AT_LAST > cancel && led > heard;
-    in_good_time || at_last
+    let stale = past > cancel + led;
+    let at_last = past + AT_LAST > cancel && led > silence;
+    let at_once = past + Span(AT_LAST.0 / 2) > cancel && led > Span(report.0 * 2) && !stale;
+    in_good_time || at_last || at_once
 }
 
 #[cfg(test)]
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -221,15 +221,19 @@
                 && !self.dark.contains_key(&m.zone)
         };
         let suspicious = now < self.suspicion;
+        // A machine that should stop something is asked at once if that may be gone already: until it
+        // has acknowledged this leader nothing it leaves out is proven gone.
+        let stops = |m: &Machine| {
+            m.acked != self.epoch && m.entries.iter().any(|e| e.stop.is_some() && e.holds_room())
+        };
         let doubtful = |m: &&Machine| match self.heard(m) {
             Some(last) => {
                 let just_now = suspicious && now - last > JUST_NOW && m.holds_firm();
-                m.unanswered > 0 || now - last > late || just_now
+                m.unanswered > 0 || now - last > late || just_now || stops(m)
             }
-            // What has to be stopped is asked for at once.
             None => {
-                let stops = m.entries.iter().any(|e| e.stop.is_some());
-                m.addr.is_some() && !m.entries.is_empty() && (stops || now - self.since > late)
+                let due = stops(m) || now - self.since > late;
+                m.addr.is_some() && !m.entries.is_empty() && due
             }
         };
         let open = (self.machines.values()).filter(|m| m.direct_open).count();
