--- a/crates/core/src/actions/reclaim_gang.rs
+++ b/crates/core/src/actions/reclaim_gang.rs
@@ -102,9 +102,10 @@
     let Some(mine) = lead.tree.find(&job.spec.team) else {
         return false;
     };
+    let counted = picture.for_shares(&need);
     let within = (0..KINDS).all(|k| {
-        let with = (picture.used[mine][k] + need[k]) * lead.multiplier;
-        need[k] <= 0.0 || with <= picture.share[mine][k] + 1e-6
+        let with = (picture.counted[mine][k] + counted[k]) * lead.multiplier;
+        counted[k] <= 0.0 || with <= picture.share[mine][k] + 1e-6
     });
     within && picture.within_limits(lead, job, &need)
 }
@@ -290,9 +291,9 @@
         };
         let mut taken = [0.0; KINDS];
         for victim in &self.tasks {
-            crate::snapshot::add(&mut taken, &amounts(&victim.need));
+            crate::snapshot::add(&mut taken, &picture.for_shares(&amounts(&victim.need)));
         }
-        over_share_after(&picture.used[theirs], &picture.share[theirs], &taken)
+        over_share_after(&picture.counted[theirs], &picture.share[theirs], &taken)
     }
 
     /// How many tasks of a gang find room on its machines.
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -322,9 +322,9 @@
                 "parent": team.parent.map(|p| &lead.tree.nodes[p].name),
                 "priority": team.priority,
                 "weight": team.weight,
-                "cpus": {"used": picture.used[i][0], "share": picture.share[i][0],
+                "cpus": {"used": picture.used[i][0], "of_share": picture.counted[i][0], "share": picture.share[i][0],
                     "quota": finite(team.quota[0]), "limit": finite(team.limit[0])},
-                "gpus": {"used": picture.used[i][1], "share": picture.share[i][1],
+                "gpus": {"used": picture.used[i][1], "of_share": picture.counted[i][1], "share": picture.share[i][1],
                     "quota": finite(team.quota[1]), "limit": finite(team.limit[1])},
                 "saturation": finite(picture.saturation(i)),
             })
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -52,6 +52,10 @@
     pub spots: Vec<Spot>,
     /// By node of the tree: what may be in use, everything not surely gone.
     pub used: Vec<Amounts>,
+    /// By node of the tree: what of that counts for shares.
+    pub counted: Vec<Amounts>,
+    /// Whether GPUs are shared apart from all else.
+    apart: bool,
     /// By node of the tree: what is used by work that can't be evicted.
     pub firm: Vec<Amounts>,
     /// By node of the tree: fair share.
@@ -98,6 +102,8 @@
         let mut picture = Self {
             spots: Vec::new(),
             used: vec![[0.0; KINDS]; nodes],
+            counted: vec![[0.0; KINDS]; nodes],
+            apart: lead.catalog.types.iter().any(|t| t.gpus <= 0.0),
             firm: vec![[0.0; KINDS]; nodes],
             share: vec![[0.0; KINDS]; nodes],
             zones: HashMap::new(),
@@ -108,10 +114,10 @@
             evicted: BTreeSet::new(),
             taken: HashMap::new(),
         };
-        let mut total = Resources::default();
+        let mut total = [0.0; KINDS];
         for machine in lead.machines.values() {
             if machine.retire.is_none() && machine.returning.is_none() {
-                total += machine.room;
+                add(&mut total, &picture.shared_room(machine));
             }
             if usable(machine, lead, now.time) {
                 let spot = picture.spot(lead, machine);
@@ -121,10 +127,10 @@
         for job in lead.jobs.values().filter(|j| !j.places.is_empty()) {
             picture.count(lead, job);
         }
-        let mut requested = picture.used.clone();
+        let mut requested = picture.counted.clone();
         for job in lead.jobs.values().filter(|j| j.is_active()) {
             picture.image_no(&job.spec.image);
-            let need = amounts(&job.need.times(job.free_tasks()));
+            let need = picture.for_shares(&amounts(&job.need.times(job.free_tasks())));
             if let Some(leaf) = lead.tree.find(&job.spec.team) {
                 add(&mut requested[leaf], &need);
             }
@@ -132,7 +138,7 @@
         for node in requested.iter_mut().take(1) {
             *node = [0.0; KINDS];
         }
-        picture.share = crate::fair_share::fair_shares(&lead.tree, amounts(&total), &requested);
+        picture.share = crate::fair_share::fair_shares(&lead.tree, total, &requested);
         picture
     }
 
@@ -206,11 +212,41 @@
         spot
     }
 
+    /// What counts for shares of what a job, or some of its tasks, take. Work without GPUs stays off
+    /// machines with GPUs where it can, so their CPUs are no room that it could be lent: counted with
+    /// the rest they made every team seem to stay within its share, and nothing was ever taken back.
+    /// So work with GPUs counts by these, and all else by what machines without GPUs have.
+    pub fn for_shares(&self, need: &Amounts) -> Amounts {
+        if self.apart && need[1] != 0.0 {
+            [0.0, need[1], 0.0]
+        } else {
+            *need
+        }
+    }
+
+    /// What a machine adds to the room that is shared.
+    fn shared_room(&self, machine: &Machine) -> Amounts {
+        let room = amounts(&machine.room);
+        if !self.apart || room[1] <= 0.0 {
+            return room;
+        }
+        // What runs there without GPUs all the same has its room.
+        let mut shared = [0.0, room[1], 0.0];
+        for entry in machine.entries.iter().filter(|e| e.holds_room()) {
+            if entry.need.gpus == 0 {
+                add(&mut shared, &amounts(&entry.need));
+            }
+        }
+        shared
+    }
+
     /// Adds to what a job's team uses, and all above it.
     pub fn charge(&mut self, lead: &Lead, job: &Job, need: &Amounts) {
         if let Some(leaf) = lead.tree.find(&job.spec.team) {
+            let counted = self.for_shares(need);
             for node in lead.tree.chain(leaf) {
                 add(&mut self.used[node], need);
+                add(&mut self.counted[node], &counted);
                 if !job.evictable() {
                     add(&mut self.firm[node], need);
                 }
@@ -359,7 +395,7 @@
 
     /// How full a team is.
     pub fn saturation(&self, leaf: usize) -> f64 {
-        crate::fair_share::saturation(&self.used[leaf], &self.share[leaf])
+        crate::fair_share::saturation(&self.counted[leaf], &self.share[leaf])
     }
 }
 
