--- a/crates/core/src/actions/allocate.rs
+++ b/crates/core/src/actions/allocate.rs
@@ -17,7 +17,7 @@
 
 /// What makes tasks alike: if one does not fit, neither does another.
 #[derive(PartialEq, Eq, Hash)]
-struct Shape {
+pub(super) struct Shape {
     need: (i64, i64, i64),
     types: Option<Vec<String>>,
     zone: Option<Zone>,
@@ -29,7 +29,7 @@
 }
 
 impl Shape {
-    fn of(job: &Job, now: Time) -> Self {
+    pub(super) fn of(job: &Job, now: Time) -> Self {
         let (spec, need) = (&job.spec, &job.need);
         // Tasks bound to where others of their job are can't be judged by another job's.
         // Nor can those of one that keeps off machines where it failed.
--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -5,6 +5,7 @@
 //! strictly higher priority. The task is placed at once on the room that is being freed, and its
 //! start goes out when that is surely free.
 
+use super::allocate::Shape;
 use super::fit;
 use crate::job::Job;
 use crate::lead::Lead;
@@ -15,7 +16,7 @@
 use crate::units::{Resources, Span};
 use rudderreel_wire::ids::{Attempt, MachineId, TaskId, Team};
 use rudderreel_wire::job::Kind;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// A task to be stopped.
 #[derive(Clone, Debug)]
@@ -104,8 +105,9 @@
 
 /// What starting again costs a task, besides the work that is lost.
 pub(super) const RESTART: Span = Span(10_000);
-/// How many jobs a cycle looks at, and how many tasks of each: enough that a zone's replicas find
-/// room within seconds, and few enough that a cycle stays short. What is left waits for the next.
+/// For how many jobs a cycle ranks machines, and for how many tasks of each: enough that a zone's
+/// replicas find room within seconds, and few enough that a cycle stays short. What is left waits
+/// for the next.
 const DEPTH: usize = 24;
 const TASKS: usize = 8;
 
@@ -116,12 +118,21 @@
     scenario: &mut Scenario,
     (why, spare, may): (&'static str, Span, Rule),
 ) {
-    for &job in waiting.iter().take(DEPTH) {
-        // A gang of several tasks needs several machines emptied at once: see `reclaim_gang`.
-        // What fails wherever it is tried stops nobody's work.
-        if job.spec.kind == Kind::Gang && job.spec.tasks > 1 || job.is_suspected() {
+    // A gang of several tasks needs several machines emptied at once: see `reclaim_gang`. What fails
+    // wherever it is tried stops nobody's work.
+    let single = |j: &&&Job| (j.spec.kind != Kind::Gang || j.spec.tasks == 1) && !j.is_suspected();
+    // Like tasks are decided as a class: where one finds no room, neither does the next. Counted by
+    // jobs, waiting gangs used up what a cycle looks at, and nothing was reclaimed for arrays.
+    let mut refused: HashSet<(&Team, Shape)> = HashSet::new();
+    let mut looks = 0;
+    for &job in waiting.iter().filter(single) {
+        let class = (&job.spec.team, Shape::of(job, picture.now.time));
+        if refused.contains(&class) {
             continue;
         }
+        if looks >= DEPTH {
+            return;
+        }
         let taken = picture.taken(&job.spec.id);
         let mut ranked: Option<VecDeque<usize>> = None;
         for index in job.next_free(taken, TASKS) {
@@ -131,7 +142,10 @@
                 break;
             }
             // The tasks of a job are alike: the machines are ranked once for all.
-            let ranked = ranked.get_or_insert_with(|| cheapest(lead, picture, job, spare, may));
+            let ranked = ranked.get_or_insert_with(|| {
+                looks += 1;
+                cheapest(lead, picture, job, spare, may)
+            });
             let mut found = None;
             while let (None, Some(at)) = (&found, ranked.pop_front()) {
                 if fit::suits(lead, picture, job, &picture.spots[at]) {
@@ -140,6 +154,7 @@
                 }
             }
             let Some((at, victims)) = found else {
+                refused.insert(class);
                 break;
             };
             for victim in victims {
