--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -101,14 +101,16 @@
         let mut picture = Snapshot::take(self, now);
         let mut scenario = actions::Scenario::default();
         let waiting = self.waiting(now);
-        let (rest, firm): (Vec<&Job>, Vec<&Job>) = waiting.iter().partition(|j| j.evictable());
+        let (rest, first): (Vec<&Job>, Vec<&Job>) =
+            (waiting.iter()).partition(|j| j.evictable() && j.spec.kind != Kind::Gang);
         let mut placements = actions::allocate_firm(self, &mut picture, &waiting, true);
-        actions::reclaim(self, &mut picture, &firm, &mut scenario);
-        actions::preempt(self, &mut picture, &firm, &mut scenario);
+        actions::reclaim(self, &mut picture, &first, &mut scenario);
+        actions::preempt(self, &mut picture, &first, &mut scenario);
         placements.extend(actions::allocate_firm(self, &mut picture, &waiting, false));
         placements.extend(actions::allocate_rest(self, &mut picture, &waiting));
-        // Only now is it known what finds no room: what is free may be held back from it, or go to
-        // others. Looked at before, a little free room kept arrays from taking back what was lent.
+        // Only now is it known what of arrays finds no room: what is free may be held back from them,
+        // or go to others. Looked at before, a little free room kept them from taking back what was
+        // lent. Gangs of one task come before: room is gathered for larger ones in between.
         actions::reclaim(self, &mut picture, &rest, &mut scenario);
         actions::preempt(self, &mut picture, &rest, &mut scenario);
         actions::reclaim_gangs(self, &mut picture, &waiting, &mut scenario);
