--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -214,6 +214,10 @@
         // Work that has less before it than behind it makes room sooner by being left alone.
         candidates.retain(|v| !v.nearly_over);
     }
+    if job.need.gpus == 0 && lead.fits_without_gpus(&job.spec, &job.need) {
+        // Work that only needs CPUs does not end work on GPUs for the CPUs beside them.
+        candidates.retain(|v| v.need.gpus == 0);
+    }
     candidates.sort_by_key(|v| v.loss);
     let mut free = spot.free;
     let mut victims = Vec::new();
