--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -15,7 +15,7 @@
 use crate::tree::{amounts, Amounts, KINDS};
 use crate::units::{Resources, Span};
 use rudderreel_wire::ids::{Attempt, MachineId, TaskId, Team};
-use rudderreel_wire::job::Kind;
+use rudderreel_wire::job::{Kind, Priority};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// A task to be stopped.
@@ -47,6 +47,8 @@
     need: Resources,
     loss: u64,
     nearly_over: bool,
+    saves: bool,
+    priority: Priority,
 }
 
 /// Whether one job's work may be stopped for another's; the amounts are what its team would have
@@ -214,6 +216,11 @@
         // Work that has less before it than behind it makes room sooner by being left alone.
         candidates.retain(|v| !v.nearly_over);
     }
+    if job.evictable() && job.spec.kind == Kind::Array {
+        // So does all that can't save, for what is no less urgent: one array's work lost for
+        // another's is late twice.
+        candidates.retain(|v| v.saves || v.priority < job.spec.priority);
+    }
     if job.need.gpus == 0 && lead.fits_without_gpus(&job.spec, &job.need) {
         // Work that only needs CPUs does not end work on GPUs for the CPUs beside them.
         candidates.retain(|v| v.need.gpus == 0);
@@ -265,6 +272,8 @@
                 attempt: e.attempt,
                 need: e.need,
                 loss: loss * e.need.cpus.max(1) as u64,
+                saves: saved,
+                priority: victim.spec.priority,
                 nearly_over: !saved && victim.spec.estimate_s * 500.0 < ran as f64,
             })
         })
--- a/crates/core/src/fair_share.rs
+++ b/crates/core/src/fair_share.rs
@@ -6,22 +6,29 @@
 //!
 //! A team without any quota may run work of priority 100 or above (its quota counts as unlimited
 //! there), but is promised nothing: beside teams that have a guarantee it would otherwise claim all it
-//! asks for in phase one. It gets its part of what is left, by priority and weight.
+//! asks for in phase one. Once guarantees are met it gets what such work takes, and then its part of
+//! what is left, by priority and weight.
 
 use crate::tree::{Amounts, TeamTree, KINDS};
 
 /// Below this, an amount counts as nothing.
 const NOTHING: f64 = 1e-9;
 
-/// Each node's fair share of `total`, given what the leaves request.
-pub fn fair_shares(tree: &TeamTree, total: Amounts, requested: &[Amounts]) -> Vec<Amounts> {
+/// Each node's fair share of `total`, given what the leaves request, and what of that is work of
+/// priority 100 or above.
+pub fn fair_shares(
+    tree: &TeamTree,
+    total: Amounts,
+    requested: &[Amounts],
+    firm: &[Amounts],
+) -> Vec<Amounts> {
     let mut shares = vec![[0.0; KINDS]; tree.nodes.len()];
     for kind in 0..KINDS {
         let wanted = wanted(tree, requested, kind);
         shares[0][kind] = total[kind].min(wanted[0]);
         for parent in 0..tree.nodes.len() {
             let children = tree.children(parent);
-            let given = divide(tree, &children, &wanted, shares[parent][kind], kind);
+            let given = divide(tree, &children, &wanted, firm, shares[parent][kind], kind);
             for (child, amount) in children.iter().zip(given) {
                 shares[*child][kind] = amount;
             }
@@ -47,6 +54,7 @@
     tree: &TeamTree,
     children: &[usize],
     wanted: &[f64],
+    firm: &[Amounts],
     amount: f64,
     kind: usize,
 ) -> Vec<f64> {
@@ -64,6 +72,17 @@
         return given;
     }
     let mut left = amount - promised;
+    let unbounded: Vec<f64> = (children.iter())
+        .map(|&c| firm_without_quota(tree, c, firm, kind).min(wanted[c]))
+        .collect();
+    let all: f64 = unbounded.iter().sum();
+    if all > NOTHING {
+        let scale = (left / all).min(1.0);
+        for (given, more) in given.iter_mut().zip(&unbounded) {
+            *given += more * scale;
+        }
+        left -= all * scale;
+    }
     let mut priorities: Vec<i32> = children.iter().map(|c| tree.nodes[*c].priority).collect();
     priorities.sort_unstable_by(|a, b| b.cmp(a));
     priorities.dedup();
@@ -85,6 +104,19 @@
     due.min(wanted[node])
 }
 
+/// What a node asks for that only an unlimited quota lets run.
+fn firm_without_quota(tree: &TeamTree, node: usize, firm: &[Amounts], kind: usize) -> f64 {
+    let children = tree.children(node);
+    if tree.nodes[node].quota[kind].is_finite() {
+        0.0
+    } else if children.is_empty() {
+        firm[node][kind]
+    } else {
+        let below = children.into_iter();
+        below.map(|c| firm_without_quota(tree, c, firm, kind)).sum()
+    }
+}
+
 /// Gives what is left to one priority, by weight, until it is used up or nobody wants more.
 fn surplus(
     tree: &TeamTree,
@@ -206,7 +238,8 @@
             let mut requested = vec![[0.0; KINDS]];
             requested.extend(teams.iter().map(|t| [t.3; KINDS]));
             let total = f64::from(total);
-            let shares = fair_shares(&tree, [total; KINDS], &requested);
+            let firm = vec![[0.0; KINDS]; tree.nodes.len()];
+            let shares = fair_shares(&tree, [total; KINDS], &requested, &firm);
             for (i, expected) in model(&teams, total).into_iter().enumerate() {
                 let got = shares[i + 1][0];
                 prop_assert!((got - expected).abs() < 0.05, "{i}: {got} but {expected}: {teams:?}");
@@ -228,7 +261,7 @@
             [9.0; KINDS],
             [9.0; KINDS],
         ];
-        let shares = fair_shares(&tree, [12.0; KINDS], &want);
+        let shares = fair_shares(&tree, [12.0; KINDS], &want, &[[0.0; KINDS]; 5]);
         let of_cpus: Vec<f64> = shares.iter().map(|s| s[0]).collect();
         assert_eq!(of_cpus, vec![12.0, 8.0, 4.0, 6.0, 2.0]);
     }
@@ -244,13 +277,32 @@
         tree.nodes.push(node(Some(2), 8.0, none, 1.0, 0));
         let want = |team: f64| [[0.0; KINDS], [90.0; KINDS], [0.0; KINDS], [team; KINDS]];
         let shares = |team| {
-            let got = fair_shares(&tree, [10.0; KINDS], &want(team));
+            let got = fair_shares(&tree, [10.0; KINDS], &want(team), &[[0.0; KINDS]; 4]);
             [got[1][0], got[2][0], got[3][0]]
         };
         assert_eq!(shares(8.0), [2.0, 8.0, 8.0]);
         assert_eq!(shares(2.0), [8.0, 2.0, 2.0]);
     }
 
+    /// Of two teams without a quota one ran replicas on half of the room: its other work had nothing
+    /// left of its share, and waited behind all that the other, a guest, could lend.
+    #[test]
+    fn what_only_an_unlimited_quota_lets_run_comes_before_what_is_left() {
+        let mut tree = TeamTree::from_limits(&[]);
+        let none = f64::INFINITY;
+        tree.nodes.push(node(Some(0), none, none, 1.0, 0));
+        tree.nodes.push(node(Some(0), none, none, 1.0, 0));
+        let want = [[0.0; KINDS], [90.0; KINDS], [90.0; KINDS]];
+        let shares = |firm: f64| {
+            let firm = [[0.0; KINDS], [firm; KINDS], [0.0; KINDS]];
+            let got = fair_shares(&tree, [20.0; KINDS], &want, &firm);
+            [got[1][0], got[2][0]]
+        };
+        assert_eq!(shares(0.0), [10.0, 10.0]);
+        assert_eq!(shares(10.0), [15.0, 5.0]);
+        assert_eq!(shares(30.0), [20.0, 0.0]);
+    }
+
     /// The design's doubt: where the cloud can't deliver, quotas promise room that is not there.
     #[test]
     fn quotas_that_are_not_backed_are_scaled_down_evenly() {
@@ -258,7 +310,7 @@
         tree.nodes.push(node(Some(0), 6.0, 10.0, 1.0, 0));
         tree.nodes.push(node(Some(0), 3.0, 10.0, 9.0, 5));
         let want = [[0.0; KINDS], [8.0; KINDS], [8.0; KINDS]];
-        let shares = fair_shares(&tree, [6.0; KINDS], &want);
+        let shares = fair_shares(&tree, [6.0; KINDS], &want, &[[0.0; KINDS]; 3]);
         assert_eq!([shares[1][0], shares[2][0]], [4.0, 2.0]);
     }
 }
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -128,17 +128,21 @@
             picture.count(lead, job);
         }
         let mut requested = picture.counted.clone();
+        let mut firm = picture.firm.clone();
         for job in lead.jobs.values().filter(|j| j.is_active()) {
             picture.image_no(&job.spec.image);
             let need = picture.for_shares(&amounts(&job.need.times(job.free_tasks())));
             if let Some(leaf) = lead.tree.find(&job.spec.team) {
                 add(&mut requested[leaf], &need);
+                if !job.evictable() {
+                    add(&mut firm[leaf], &need);
+                }
             }
         }
         for node in requested.iter_mut().take(1) {
             *node = [0.0; KINDS];
         }
-        picture.share = crate::fair_share::fair_shares(&lead.tree, total, &requested);
+        picture.share = crate::fair_share::fair_shares(&lead.tree, total, &requested, &firm);
         picture
     }
 
