--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -85,12 +85,13 @@
     if mine == theirs {
         return false;
     }
-    let need = picture.for_shares(&amounts(&job.need));
+    let lending = picture.lending(job);
+    let need = lending.counts(&job.need);
     let m = lead.multiplier;
     let stays_within = (0..KINDS).all(|k| {
-        need[k] <= 0.0 || (picture.counted[mine][k] + need[k]) * m <= picture.share[mine][k] + 1e-6
+        need[k] <= 0.0 || (lending.used[mine][k] + need[k]) * m <= lending.share[mine][k] + 1e-6
     });
-    stays_within && over_share_after(&picture.counted[theirs], &picture.share[theirs], taken)
+    stays_within && over_share_after(&lending.used[theirs], &lending.share[theirs], taken)
 }
 
 /// Whether a team is still at or above its share in what it gives.
@@ -237,7 +238,7 @@
         let theirs = lead.jobs.get(&victim.task.job)?;
         let sum = taken.entry(&theirs.spec.team).or_insert([0.0; KINDS]);
         let mut with = *sum;
-        add(&mut with, &picture.for_shares(&amounts(&victim.need)));
+        add(&mut with, &picture.lending(job).counts(&victim.need));
         if may(lead, picture, job, theirs, &with) {
             *sum = with;
             free += victim.need;
--- a/crates/core/src/actions/reclaim_gang.rs
+++ b/crates/core/src/actions/reclaim_gang.rs
@@ -102,10 +102,11 @@
     let Some(mine) = lead.tree.find(&job.spec.team) else {
         return false;
     };
-    let counted = picture.for_shares(&need);
+    let lending = picture.lending(job);
+    let counted = lending.counts(&job.need.times(job.spec.tasks));
     let within = (0..KINDS).all(|k| {
-        let with = (picture.counted[mine][k] + counted[k]) * lead.multiplier;
-        counted[k] <= 0.0 || with <= picture.share[mine][k] + 1e-6
+        let with = (lending.used[mine][k] + counted[k]) * lead.multiplier;
+        counted[k] <= 0.0 || with <= lending.share[mine][k] + 1e-6
     });
     within && picture.within_limits(lead, job, &need)
 }
@@ -131,7 +132,7 @@
         if have >= want {
             break;
         }
-        if !unit.is_lent(lead, picture) {
+        if !unit.is_lent(lead, picture, job) {
             continue;
         }
         let before = unit.room(lead, picture, job, zone);
@@ -284,16 +285,17 @@
     }
 
     /// Whether its team stays at or above its share without it.
-    fn is_lent(&self, lead: &Lead, picture: &Snapshot) -> bool {
+    fn is_lent(&self, lead: &Lead, picture: &Snapshot, job: &Job) -> bool {
+        let lending = picture.lending(job);
         let team = (self.tasks.first()).and_then(|v| lead.jobs.get(&v.task.job));
         let Some(theirs) = team.and_then(|j| lead.tree.find(&j.spec.team)) else {
             return false;
         };
         let mut taken = [0.0; KINDS];
         for victim in &self.tasks {
-            crate::snapshot::add(&mut taken, &picture.for_shares(&amounts(&victim.need)));
+            crate::snapshot::add(&mut taken, &lending.counts(&victim.need));
         }
-        over_share_after(&picture.counted[theirs], &picture.share[theirs], &taken)
+        over_share_after(&lending.used[theirs], &lending.share[theirs], &taken)
     }
 
     /// How many tasks of a gang find room on its machines.
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -56,6 +56,8 @@
     pub counted: Vec<Amounts>,
     /// Whether GPUs are shared apart from all else.
     apart: bool,
+    /// By node of the tree: fair share with all room counted together.
+    share_of_all: Vec<Amounts>,
     /// By node of the tree: what is used by work that can't be evicted.
     pub firm: Vec<Amounts>,
     /// By node of the tree: fair share.
@@ -105,6 +107,7 @@
             counted: vec![[0.0; KINDS]; nodes],
             apart: lead.catalog.types.iter().any(|t| t.gpus <= 0.0),
             firm: vec![[0.0; KINDS]; nodes],
+            share_of_all: vec![[0.0; KINDS]; nodes],
             share: vec![[0.0; KINDS]; nodes],
             zones: HashMap::new(),
             zone_names: Vec::new(),
@@ -115,9 +118,11 @@
             taken: HashMap::new(),
         };
         let mut total = [0.0; KINDS];
+        let mut all = [0.0; KINDS];
         for machine in lead.machines.values() {
             if machine.retire.is_none() && machine.returning.is_none() {
                 add(&mut total, &picture.shared_room(machine));
+                add(&mut all, &amounts(&machine.room));
             }
             if usable(machine, lead, now.time) {
                 let spot = picture.spot(lead, machine);
@@ -128,21 +133,24 @@
             picture.count(lead, job);
         }
         let mut requested = picture.counted.clone();
+        let mut of_all = picture.used.clone();
         let mut firm = picture.firm.clone();
         for job in lead.jobs.values().filter(|j| j.is_active()) {
             picture.image_no(&job.spec.image);
-            let need = picture.for_shares(&amounts(&job.need.times(job.free_tasks())));
+            let whole = amounts(&job.need.times(job.free_tasks()));
+            let need = picture.for_shares(&whole);
             if let Some(leaf) = lead.tree.find(&job.spec.team) {
+                add(&mut of_all[leaf], &whole);
                 add(&mut requested[leaf], &need);
                 if !job.evictable() {
                     add(&mut firm[leaf], &need);
                 }
             }
         }
-        for node in requested.iter_mut().take(1) {
-            *node = [0.0; KINDS];
-        }
+        requested[0] = [0.0; KINDS];
+        of_all[0] = [0.0; KINDS];
         picture.share = crate::fair_share::fair_shares(&lead.tree, total, &requested, &firm);
+        picture.share_of_all = crate::fair_share::fair_shares(&lead.tree, all, &of_all, &firm);
         picture
     }
 
@@ -228,6 +236,27 @@
         }
     }
 
+    /// What teams use and their shares, as they count for taking room back for a job, and what so
+    /// much comes to. Work on GPUs is stopped only where its team is above its share of all that it
+    /// takes: by GPUs alone, gangs of grown prairie stopped one another and fewer were done in time.
+    pub fn lending<'a>(&'a self, job: &Job) -> Lending<'a> {
+        if job.need.gpus > 0 {
+            Lending {
+                used: &self.used,
+                share: &self.share_of_all,
+                whole: true,
+                picture: self,
+            }
+        } else {
+            Lending {
+                used: &self.counted,
+                share: &self.share,
+                whole: false,
+                picture: self,
+            }
+        }
+    }
+
     /// What a machine adds to the room that is shared.
     fn shared_room(&self, machine: &Machine) -> Amounts {
         let room = amounts(&machine.room);
@@ -429,6 +458,28 @@
     }
 }
 
+/// What counts for taking room back for a job.
+pub struct Lending<'a> {
+    /// By node of the tree: what is used.
+    pub used: &'a [Amounts],
+    /// By node of the tree: fair share.
+    pub share: &'a [Amounts],
+    whole: bool,
+    picture: &'a Snapshot,
+}
+
+impl Lending<'_> {
+    /// What an amount counts for.
+    pub fn counts(&self, need: &Resources) -> Amounts {
+        let need = amounts(need);
+        if self.whole {
+            need
+        } else {
+            self.picture.for_shares(&need)
+        }
+    }
+}
+
 /// Whether a job's team, and all above it, may use so much more than is used.
 pub fn within(lead: &Lead, job: &Job, need: &Amounts, used: &[Amounts], firm: &[Amounts]) -> bool {
     let Some(leaf) = lead.tree.find(&job.spec.team) else {
