--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -289,6 +289,9 @@
     if !job.is_active() {
         return "it was cancelled";
     }
+    if job.is_suspected() {
+        return "it fails wherever it is tried, perhaps for a mistake; it is tried now and then";
+    }
     if job.free_tasks() == 0 {
         return "all its tasks are placed or done";
     }
@@ -354,6 +357,8 @@
                 "free_cpus": free.cpus as f64 / 1000.0,
                 "free_gpus": free.gpus as f64 / 1000.0,
                 "going": m.retire, "price_per_hour": price,
+                "failed_jobs": m.blamed.iter().map(|(j, _)| j).collect::<Vec<_>>(),
+                "quarantined_s": (m.quarantine - now.time).as_secs(),
             })
         })
         .take(MOST_LISTED)
