A majority knows of a cancellation before a user is told; words bring it along

Cause: every other node learned of a cancellation only through its watch of the state service.

Now the node that wants to tell a user makes the cancellation known to the others first, in a peer message of its own, and tells once a majority (and, if it is heard, the leader) has acknowledged it. A word carries the cancellations that the asking node lacks and counts only with them; a node that has started again gives none before it has read the jobs. If nodes can't reach one another, those that the state service serves say through it how much they know. A leader by its lease tells of a job of which nothing is left anywhere. Every answer is made in one place from the newest that is known. A late report's answer carries the stops, too, and a cancelled task that still saves is ended. The simulated world asks after cancelled jobs, too.

Found with it: two nodes that the state service refused sent workers to and fro between them until their leases ran out. A node now follows the leader that it hears.

The seed of a_fleet_with_troubles is another: the messages shift the world's random numbers, and with 610 the jobs drawn needed only 800 machines, before any trouble; 611 needs 1,050.

--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -3,7 +3,9 @@
 
 use rudderreel_core::{CloudAnswer, CloudCall, DirectOutcome, StateAnswer, StateCall, Value};
 use rudderreel_wire::ids::Version;
-use rudderreel_wire::peer::{Forward, Heartbeat, HeartbeatReply, Reports, ReportsReply};
+use rudderreel_wire::peer::{
+    Announcement, AnnouncementReply, Forward, Heartbeat, HeartbeatReply, Reports, ReportsReply,
+};
 use rudderreel_wire::state::{Committed, Events, Item, Lease, LeaseRequest, Page};
 use rudderreel_wire::worker::DirectCommands;
 use serde::de::DeserializeOwned;
@@ -238,6 +240,19 @@
     }
 }
 
+/// Makes cancellations known to a peer.
+pub fn announce(
+    agent: &Agent,
+    addr: SocketAddrV4,
+    told: &Announcement,
+) -> Option<AnnouncementReply> {
+    let url = format!("http://{addr}/peer/announce");
+    match post(agent, &url, &bitcode::encode(told)) {
+        Reply::Status(200, bytes) => bitcode::decode(&bytes).ok(),
+        _ => None,
+    }
+}
+
 /// An answer of the administration API.
 pub enum AdminReply {
     /// Status and body.
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -4,7 +4,7 @@
 use crate::requests::{self, Incoming, MAX_BODY};
 use crossbeam_channel::{Sender, TrySendError};
 use rudderreel_core::{AdminRequest, Input, ReqId, UserRequest};
-use rudderreel_wire::peer::{Forward, Heartbeat, Reports};
+use rudderreel_wire::peer::{Announcement, Forward, Heartbeat, Reports};
 use rudderreel_wire::settings::Settings;
 
 /// The largest body that a peer sends: reports of many workers, or counts of many jobs. Reports
@@ -122,6 +122,10 @@
             Ok(beat) => hand_over(&core.rest, Input::Heartbeat(id, beat)),
             Err(e) => Some(Answer::error(400, &e.to_string())),
         },
+        ("POST", "/peer/announce") => match bitcode::decode::<Announcement>(bytes) {
+            Ok(told) => hand_over(&core.rest, Input::Announced(id, told)),
+            Err(e) => Some(Answer::error(400, &e.to_string())),
+        },
         ("POST", "/peer/reports") => match bitcode::decode::<Reports>(bytes) {
             Ok(reports) => hand_over(&core.reports, Input::Reports(id, reports)),
             Err(e) => Some(Answer::error(400, &e.to_string())),
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -11,7 +11,7 @@
     StateCall,
 };
 use rudderreel_wire::ids::{MachineId, NodeName, Version};
-use rudderreel_wire::peer::{Forward, Heartbeat, Reports};
+use rudderreel_wire::peer::{Announcement, Forward, Heartbeat, Reports};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::worker::DirectCommands;
 use std::collections::BTreeMap;
@@ -80,6 +80,7 @@
     Beat(Heartbeat),
     Forward(ReqId, Forward),
     Reports(CallId, Reports),
+    Announce(NodeName, Announcement),
 }
 
 /// Channels to one peer.
@@ -87,6 +88,7 @@
     beats: Sender<PeerJob>,
     forwards: Sender<PeerJob>,
     reports: Sender<PeerJob>,
+    announcements: Sender<PeerJob>,
 }
 
 /// Where the core's outputs go.
@@ -243,6 +245,16 @@
                     .is_some_and(|p| p.forwards.try_send(PeerJob::Forward(req, request)).is_ok());
                 (!sent).then_some(Input::ForwardReply(req, None))
             }
+            Output::AnswerAnnounced(req, reply) => {
+                self.open.answer_bytes(req, bitcode::encode(&reply));
+                None
+            }
+            Output::Announce(peer, announcement) => {
+                let job = PeerJob::Announce(peer.clone(), announcement);
+                let sent =
+                    (self.peers.get(&peer)).is_some_and(|p| p.announcements.try_send(job).is_ok());
+                (!sent).then_some(Input::AnnounceReply(peer, None))
+            }
             Output::PassReports(peer, id, reports) => {
                 let sent = (self.peers.get(&peer))
                     .is_some_and(|p| p.reports.try_send(PeerJob::Reports(id, reports)).is_ok());
@@ -286,6 +298,7 @@
             beats: start_peer(peer.addr, clock, core, 1, 1)?,
             forwards: start_peer(peer.addr, clock, core, 2, 32)?,
             reports: start_peer(peer.addr, clock, core, 2, 4)?,
+            announcements: start_peer(peer.addr, clock, core, 1, 1)?,
         };
         peers.insert(peer.node.clone(), wires);
     }
@@ -410,6 +423,9 @@
                     PeerJob::Reports(id, reports) => {
                         Input::ReportsReply(id, clients::pass_reports(&agent, addr, &reports))
                     }
+                    PeerJob::Announce(peer, told) => {
+                        Input::AnnounceReply(peer, clients::announce(&agent, addr, &told))
+                    }
                     PeerJob::Forward(req, request) => {
                         Input::ForwardReply(req, clients::forward(&agent, addr, &request))
                     }
@@ -459,6 +475,11 @@
         let reports = Reports {
             reports: Vec::new(),
         };
+        let announcement = Announcement {
+            from: "n0".into(),
+            known_to: Version(1),
+            cancelled: Vec::new(),
+        };
         let answers: Vec<Option<Input>> = [
             Output::State(id, StateCall::Get("epoch".into())),
             Output::Watch(Version(3)),
@@ -466,6 +487,7 @@
             direct,
             Output::PassReports("n1".into(), id, reports),
             Output::Forward("n1".into(), ReqId(5), Forward::Status("wk-1".into())),
+            Output::Announce("n1".into(), announcement),
         ]
         .into_iter()
         .map(|output| wires.send(output, now))
@@ -479,6 +501,7 @@
                 Some(Input::Direct(_, _, DirectOutcome::NotCalled)),
                 Some(Input::ReportsReply(CallId(7), None)),
                 Some(Input::ForwardReply(ReqId(5), None)),
+                Some(Input::AnnounceReply(_, None)),
             ]
         ));
     }
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -6,7 +6,7 @@
 use crate::possession::{Entry, Machine, Phase};
 use crate::units::{Resources, Span, Time};
 use rudderreel_wire::ids::{MachineId, Zone};
-use rudderreel_wire::worker::{Command, TaskState};
+use rudderreel_wire::worker::Command;
 
 /// With so many machines at most, tests compare sums with the slow plain way.
 const PLAIN: usize = 300;
@@ -129,8 +129,7 @@
             if entry.may_forget() && !direct {
                 commands.push(Command::Forget { task, attempt });
             } else if let (Some(stop), true) = (entry.stop, entry.holds_room()) {
-                let told = entry.phase == Phase::On(TaskState::Saving);
-                if !told {
+                if entry.awaits_stop() {
                     commands.insert(
                         0,
                         Command::Stop {
@@ -186,9 +185,7 @@
         }
         machine.entries.iter().any(|e| {
             let start = e.is_recorded() && e.phase == Phase::Planned && e.stop.is_none();
-            let stop =
-                e.stop.is_some() && e.holds_room() && e.phase != Phase::On(TaskState::Saving);
-            start || stop
+            start || e.awaits_stop()
         })
     }
 
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,5 +1,6 @@
 //! The whole of a node's state, and what happens on each input.
 
+use crate::cancellations::Cancellations;
 use crate::capacity::CloudCalls;
 use crate::directory::Directory;
 use crate::election::{Election, Step, Verdict, CONTACT, WORD};
@@ -17,6 +18,7 @@
 use rudderreel_wire::admin::{AdminSettings, Versioned};
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version, Zone};
+use rudderreel_wire::job::JobState;
 use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::state::{Event, Page};
@@ -31,6 +33,7 @@
     User(UserStep),
     Lead(u64, LeadStep),
     Settings(ReqId, Box<AdminSettings>),
+    Known,
 }
 
 /// What is known of a peer.
@@ -39,8 +42,9 @@
     pub heard: Time,
     pub state_ok: bool,
     pub worker_silence: Span,
-    /// Whether it leads, as it said last.
+    /// Whether it leads, as it said last, and the highest epoch that it knew.
     pub leads: bool,
+    pub epoch: Epoch,
     /// Workers that report to it.
     pub workers: u32,
     /// Whether it hears the leader, so that it can pass reports on.
@@ -61,6 +65,7 @@
     pub(crate) list_lag: Span,
     pub(crate) election: Election,
     pub(crate) reads: Reads,
+    pub(crate) cancellations: Cancellations,
     pub(crate) lead: Option<Lead>,
     pub(crate) relay: Relay,
     /// Machines that the leader said it knows.
@@ -124,6 +129,7 @@
             cloud: CloudCalls::new(settings.params.cloud.rps * 0.9),
             election: Election::new(settings.node.clone(), nodes, rank),
             reads: Reads::default(),
+            cancellations: Cancellations::default(),
             lead: None,
             relay: Relay::default(),
             leader_machines: 0,
@@ -155,6 +161,8 @@
             Input::HeartbeatReply(sent, reply) => self.heartbeat_reply(sent, reply, now),
             Input::Reports(req, reports) => self.reports(req, reports, now),
             Input::ReportsReply(call, reply) => self.passed(call, reply, now),
+            Input::Announced(req, told) => self.announced(req, told),
+            Input::AnnounceReply(peer, reply) => self.announce_reply(peer, reply, now),
             Input::ForwardReply(req, answer) => self.forward_answer(req, answer),
             Input::State(id, sent, answer) => self.state_answer(id, sent, answer, now),
             Input::Watched(revision, events) => self.watched(revision, events, now),
@@ -167,6 +175,9 @@
             Input::Cloud(id, answer) => self.cloud_answer(id, answer, now),
             Input::Direct(machine, body, outcome) => self.direct(machine, body, outcome, now),
         }
+        // At once, so that nothing of a job is started after its user was told that it is cancelled.
+        self.learn_changed(now);
+        self.announce(now);
         self.calls.pump(now.time, &mut self.out);
         std::mem::take(&mut self.out)
     }
@@ -180,6 +191,7 @@
         let due = self.election.tick(now.time, leader, mine);
         self.election_calls(due);
         self.confirm(now);
+        self.cancellations_tick(now);
         self.relay_tick(now);
         if now.time >= self.next_beat {
             self.next_beat = now.time + BEAT;
@@ -209,6 +221,7 @@
                 }
             }
             Some(Purpose::Settings(req, new)) => self.settings_replaced(req, *new, answer),
+            Some(Purpose::Known) => self.known_written(matches!(answer, StateAnswer::Committed(_))),
             None => log::debug!("an answer that nobody waits for"),
         }
     }
@@ -296,6 +309,7 @@
         }
         self.filling = false;
         self.directory.complete = true;
+        self.knows_to(first);
         self.out.push(Output::Watch(first));
     }
 
@@ -316,6 +330,7 @@
             self.directory.learn_event(event);
         }
         self.take_learned(now);
+        self.knows_to(revision);
         self.out.push(Output::Watch(revision));
     }
 
@@ -368,15 +383,13 @@
     }
 
     /// Sends a worker to the leader, if one is surely there: a node that is cut off may name one
-    /// that has long ended, and would send workers to and fro.
+    /// that has long ended, and would send workers to and fro. (Two nodes that the state service
+    /// refused did so until the leases ran out, since the one still took the other for the leader.)
     fn report_elsewhere(&mut self, req: ReqId, now: Time) {
-        let leader = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
-        let heard = |node: &NodeName| {
-            let peer = self.peers.get(node);
-            self.election.state_ok(now) || peer.is_some_and(|p| now < p.heard + Span(1_500))
-        };
-        let leader = leader.filter(|node| *node != self.settings.node && heard(node));
-        self.report_to(req, leader);
+        let recorded = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
+        let recorded = recorded.filter(|_| self.election.state_ok(now));
+        let leader = self.near_leader(now).or(recorded);
+        self.report_to(req, leader.filter(|node| *node != self.settings.node));
     }
 
     /// Sends starts that have been recorded, what can't wait first.
@@ -485,11 +498,9 @@
     // --- leading ---
 
     fn lead_tick(&mut self, now: Now) {
-        let changed = std::mem::take(&mut self.directory.changed);
         if self.lead.is_none() {
             return;
         }
-        self.learn_changed(changed, now);
         self.read_on(now);
         self.cut_off(now);
         self.note_fence(now.time);
@@ -533,7 +544,8 @@
         }
     }
 
-    fn learn_changed(&mut self, changed: Vec<JobId>, now: Now) {
+    fn learn_changed(&mut self, now: Now) {
+        let changed = std::mem::take(&mut self.directory.changed);
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
@@ -542,6 +554,9 @@
                 continue;
             };
             lead.learn_job(&id, known.version, &known.record);
+            if known.record.state == JobState::Cancelled {
+                lead.stop_cancelled(&id, now.time);
+            }
             lead.wake(now.time);
         }
     }
@@ -608,6 +623,7 @@
                 .map(|(zone, since)| (zone.to_string(), (now.time - *since).0))
                 .collect(),
             counts,
+            known_to: self.cancellations.known_to,
         }));
         self.note_fence(now.time);
     }
@@ -630,7 +646,11 @@
         if beat.leads && beat.epoch >= self.election.epoch {
             self.election.hear_leader(now.time);
         }
-        let word = beat.asks_word && self.election.give_word(now.time, beat.epoch, beat.leads);
+        let catchup = self.catchup_for(&beat);
+        let whole = catchup.as_ref().is_some_and(|(_, whole)| *whole);
+        let word = whole && self.election.give_word(now.time, beat.epoch, beat.leads);
+        // Only an outage makes words, and catching up by them, needed.
+        let catchup = catchup.filter(|_| !self.election.state_ok(now.time));
         self.election.hear_epoch(beat.epoch, now.time);
         if beat.leads && beat.epoch >= self.election.epoch {
             self.leader_machines = beat.machines;
@@ -653,11 +673,14 @@
             state_ok: self.election.state_ok(now.time),
             word,
             worker_silence_ms: self.worker_silence(now.time).0,
+            known_to: self.cancellations.known_to,
+            catchup: catchup.map(|(catchup, _)| catchup),
         };
         self.out.push(Output::AnswerHeartbeat(req, reply));
     }
 
-    fn heartbeat_reply(&mut self, sent: Time, reply: HeartbeatReply, now: Now) {
+    fn heartbeat_reply(&mut self, sent: Time, mut reply: HeartbeatReply, now: Now) {
+        self.catch_up(&mut reply);
         let silence = Span(reply.worker_silence_ms);
         self.note_peer(&reply.from, reply.state_ok, silence, now.time);
         self.election.hear_epoch(reply.epoch, now.time);
@@ -709,6 +732,7 @@
         self.relay.sent.remove(&name);
         if let Some(peer) = self.peers.get_mut(&name) {
             peer.leads = beat.leads;
+            peer.epoch = beat.epoch;
             peer.workers = beat.workers;
             peer.passes = beat.passes;
         }
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -39,7 +39,7 @@
             }
             _ => {
                 if let Some(job) = self.jobs.get_mut(id) {
-                    job.version = version;
+                    job.version = version.max(job.version);
                 } else if let Some(spec) = &record.spec {
                     let job = Job::new(spec.clone(), version, record.submitted);
                     self.jobs.insert(id.clone(), job);
@@ -77,8 +77,7 @@
                 _ => Span(0),
             };
             let led = now.time - self.since;
-            for (machine, attempt) in job.places.values().flatten().cloned().collect::<Vec<_>>() {
-                self.stop_on(&machine, &id, attempt, 0.0, "cancelled", now.time);
+            for machine in self.stop_cancelled(&id, now.time) {
                 let limits = (self.cancel, self.report, self.silence());
                 let (lease, fence, dark) = (self.lease, self.fence, &self.dark);
                 if let Some(m) = self.machines.get_mut(&machine) {
@@ -95,6 +94,18 @@
         }
     }
 
+    /// Stops all that there may be of a cancelled or finished job; returns where that is.
+    pub fn stop_cancelled(&mut self, id: &JobId, now: Time) -> Vec<MachineId> {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.is_active()) else {
+            return Vec::new();
+        };
+        let places: Vec<(MachineId, Attempt)> = job.places.values().flatten().cloned().collect();
+        for (machine, attempt) in &places {
+            self.stop_on(machine, id, *attempt, 0.0, "cancelled", now);
+        }
+        places.into_iter().map(|(machine, _)| machine).collect()
+    }
+
     /// Decides one cycle.
     pub fn cycle(&mut self, now: Now) {
         self.drop_stalled(now.time);
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -4,11 +4,13 @@
 //! and is confirmed with the state service first (see `reads`).
 
 use crate::io::Value;
-use crate::records::{JobRecord, LeaderRecord, ADMIN, CATALOG, JOBS, LEADER};
+use crate::records::{JobRecord, KnownRecord, LeaderRecord, ADMIN, CATALOG, JOBS, KNOWN, LEADER};
+use crate::units::Wall;
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::cloud::Catalog;
-use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::ids::{JobId, NodeName, Version};
 use rudderreel_wire::job::JobState;
+use rudderreel_wire::peer::CancelledJob;
 use rudderreel_wire::state::Event;
 use rudderreel_wire::worker::{Command, Report, TaskState};
 use std::collections::BTreeMap;
@@ -39,20 +41,69 @@
     pub complete: bool,
     /// Jobs that changed since the leader last looked.
     pub changed: Vec<JobId>,
+    /// Cancelled jobs by the revisions that cancelled them.
+    cancelled: BTreeMap<Version, JobId>,
+    /// What other nodes have written about the cancellations that they know.
+    pub known: BTreeMap<NodeName, KnownRecord>,
 }
 
 impl Directory {
     /// Takes in a job's record if it is newer. A record never leaves a final state.
     pub fn learn_job(&mut self, id: JobId, version: Version, record: JobRecord) {
-        if let Some(known) = self.jobs.get(&id) {
+        if let Some(known) = self.jobs.get_mut(&id) {
             if known.version >= version {
+                // A cancellation that a peer told of came without the submission.
+                let lacks =
+                    known.record.state == JobState::Cancelled && known.record.spec.is_none();
+                if lacks && record.spec.is_some() {
+                    known.record.spec = record.spec;
+                    self.changed.push(id);
+                }
                 return;
             }
         }
+        if record.state == JobState::Cancelled {
+            self.cancelled.insert(version, id.clone());
+        }
         self.changed.push(id.clone());
         self.jobs.insert(id, KnownJob { version, record });
     }
 
+    /// Takes in a cancellation that another node knows of.
+    pub fn learn_cancelled(&mut self, told: &CancelledJob) {
+        let Ok(id) = told.job.parse::<JobId>() else {
+            return log::warn!("a peer tells of a job that can't be: {:.40}", told.job);
+        };
+        let record = JobRecord {
+            state: JobState::Cancelled,
+            submitted: Wall(told.submitted_ms),
+            cancelled: Some(Wall(told.cancelled_ms)),
+            tasks: told.tasks,
+            spec: (self.jobs.get(&id)).and_then(|known| known.record.spec.clone()),
+        };
+        self.learn_job(id, told.version, record);
+    }
+
+    /// Cancellations after a revision, at most so many.
+    pub fn cancelled_after(&self, after: Version, most: usize) -> Vec<CancelledJob> {
+        let later = self.cancelled.range(Version(after.0 + 1)..);
+        (later.take(most))
+            .filter_map(|(version, id)| self.cancellation(id, *version))
+            .collect()
+    }
+
+    /// A cancellation, as it is told to other nodes.
+    pub fn cancellation(&self, id: &JobId, version: Version) -> Option<CancelledJob> {
+        let record = &self.jobs.get(id)?.record;
+        Some(CancelledJob {
+            job: id.to_string(),
+            version,
+            cancelled_ms: record.cancelled.unwrap_or(record.submitted).0,
+            submitted_ms: record.submitted.0,
+            tasks: record.tasks,
+        })
+    }
+
     /// Stops for what a report lists of cancelled jobs. They hold whoever gives them, since a job that
     /// is cancelled remains so: a node that answers workers in an outage, or that has not read back
     /// what runs where, gives no other commands, and would keep those tasks alive for too long.
@@ -93,6 +144,11 @@
             }
         } else if key == CATALOG {
             self.catalog = serde_json::from_value(value.clone()).ok();
+        } else if let Some(node) = key.strip_prefix(KNOWN) {
+            match serde_json::from_value(value.clone()) {
+                Ok(record) => drop(self.known.insert(node.into(), record)),
+                Err(e) => log::error!("unreadable record {key}: {e}"),
+            }
         } else if let Some(id) = key.strip_prefix(JOBS).and_then(|id| id.parse().ok()) {
             match serde_json::from_value(value.clone()) {
                 Ok(record) => self.learn_job(id, version, record),
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -9,7 +9,8 @@
 //! itself included, gives its word afresh: that the state service does not answer it either and
 //! that it knows of no higher epoch. A word is good for [`WORD`], counted from the sending of the
 //! heartbeat that asked for it. A node gives none before it has read the epoch since its own
-//! start, so what it said in an earlier life still binds it; none while a campaign of its own has
+//! start, so what it said in an earlier life still binds it, nor before it has read the jobs, so that
+//! it knows every cancellation that it acknowledged; none while a campaign of its own has
 //! an unknown outcome; and it does not campaign until its last word has run out.
 //!
 //! If the leader itself ends in an outage, nobody can follow it. Then any node may take care of the
@@ -92,6 +93,9 @@
     pub epoch: Epoch,
     /// Whether the epoch was read since this process started.
     epoch_read: bool,
+    /// Whether the jobs were read since this process started. Before that it may lack cancellations
+    /// that it had acknowledged in an earlier life.
+    pub jobs_read: bool,
     epoch_version: Version,
     last_ok: Option<Time>,
     failing_since: Option<Time>,
@@ -118,6 +122,7 @@
             rank,
             epoch: Epoch(0),
             epoch_read: false,
+            jobs_read: false,
             epoch_version: Version(0),
             last_ok: None,
             failing_since: None,
@@ -179,7 +184,11 @@
     }
 
     fn could_give_word(&self, now: Time) -> bool {
-        self.epoch_read && !self.campaigning && !self.claim_unsure && !self.state_ok(now)
+        self.epoch_read
+            && self.jobs_read
+            && !self.campaigning
+            && !self.claim_unsure
+            && !self.state_ok(now)
     }
 
     /// Notes that a leader was heard.
@@ -522,6 +531,7 @@
     /// A node that has read the leader's epoch and then lost the state service.
     fn in_an_outage(epoch: u64) -> (Election, Time) {
         let mut node = node();
+        node.jobs_read = true;
         node.note_state(NOW, &leader(epoch));
         node.answered(NOW, NOW, Step::Look, leader(epoch));
         let later = NOW + Span(2_000);
@@ -554,11 +564,20 @@
     #[test]
     fn no_word_from_a_node_that_has_not_read_the_epoch() {
         let mut node = node();
+        node.jobs_read = true;
         node.note_state(NOW, &StateAnswer::Refused);
         node.hear_epoch(Epoch(4), NOW);
         assert!(!node.give_word(NOW, Epoch(4), true));
     }
 
+    /// It may have acknowledged a cancellation in an earlier life, and forgotten it.
+    #[test]
+    fn no_word_from_a_node_that_has_not_read_the_jobs() {
+        let (mut node, now) = in_an_outage(4);
+        node.jobs_read = false;
+        assert!(!node.give_word(now, Epoch(4), true) && !node.would_care(now));
+    }
+
     /// A claim of unknown outcome may yet be carried out.
     #[test]
     fn no_word_while_a_claim_is_open() {
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -3,7 +3,9 @@
 use rudderreel_wire::cloud::{Catalog, MachineNames, MachinePage, Rent};
 use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version};
 use rudderreel_wire::job::JobSpec;
-use rudderreel_wire::peer::{Forward, Heartbeat, HeartbeatReply, Reports, ReportsReply};
+use rudderreel_wire::peer::{
+    Announcement, AnnouncementReply, Forward, Heartbeat, HeartbeatReply, Reports, ReportsReply,
+};
 use rudderreel_wire::state::{Event, Item, Page, Transaction};
 use rudderreel_wire::worker::{DirectCommands, Report};
 
@@ -143,6 +145,10 @@
     Reports(ReqId, Reports),
     /// The leader's answer to reports that were passed on; none if it gave none.
     ReportsReply(CallId, Option<ReportsReply>),
+    /// Cancellations that a peer makes known.
+    Announced(ReqId, Announcement),
+    /// A peer's answer to cancellations made known to it; none if it gave none.
+    AnnounceReply(NodeName, Option<AnnouncementReply>),
     /// A peer's answer to a forwarded request; none if it gave none.
     ForwardReply(ReqId, Option<(u16, String)>),
     /// The state service's answer to a call sent at the given moment.
@@ -175,6 +181,10 @@
     AnswerHeartbeat(ReqId, HeartbeatReply),
     /// Answer a peer that passed reports on.
     AnswerReports(ReqId, ReportsReply),
+    /// Answer a peer that made cancellations known.
+    AnswerAnnounced(ReqId, AnnouncementReply),
+    /// Make cancellations known to a peer.
+    Announce(NodeName, Announcement),
     /// Pass reports on to the leader.
     PassReports(NodeName, CallId, Reports),
     /// Call the state service.
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -346,7 +346,8 @@
         };
         machine.last_answer = Some(now.time);
         if machine.newest != newest {
-            return Some(Vec::new());
+            // It renews the worker's lease all the same, so it carries what must not go on.
+            return Some(directory.stops_of_cancelled(report));
         }
         let id = machine.id.clone();
         Some(self.commands(&id, now.time, false))
@@ -580,11 +581,13 @@
                 dropped.push(e.task.index);
                 return false;
             }
-            e.stop.get_or_insert(Stop {
+            let stop = e.stop.get_or_insert(Stop {
                 grace_s,
                 since: now,
                 why,
             });
+            // One that saves is ended by a second stop without grace.
+            stop.grace_s = stop.grace_s.min(grace_s);
             true
         });
         if let Some(job) = self.jobs.get_mut(job) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod blame;
 mod books;
+mod cancellations;
 mod capacity;
 mod demand;
 mod directory;
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/possession.rs
@@ -120,6 +120,12 @@
         )
     }
 
+    /// Whether its worker has yet to be told to stop it, or to end what it still saves.
+    pub fn awaits_stop(&self) -> bool {
+        let saves = self.phase == Phase::On(TaskState::Saving);
+        (self.stop).is_some_and(|stop| self.holds_room() && !(saves && stop.grace_s > 0.0))
+    }
+
     /// Whether the worker may forget it: no start for it may be under way, for after that a
     /// repeated start would run it again.
     pub fn may_forget(&self) -> bool {
--- a/crates/core/src/reads.rs
+++ b/crates/core/src/reads.rs
@@ -77,7 +77,13 @@
 }
 
 impl Waiting {
-    fn job(&self) -> &JobId {
+    /// The request.
+    pub(crate) fn req(&self) -> ReqId {
+        self.req
+    }
+
+    /// The job that it is about.
+    pub(crate) fn job(&self) -> &JobId {
         match &self.request {
             UserRequest::Submit(spec) => &spec.id,
             UserRequest::Status(id) | UserRequest::Withdraw(id) => id,
@@ -98,8 +104,8 @@
         if self.reads.open >= MAX_OPEN || self.calls.is_behind() {
             return self.refuse(waiting.req, "too many requests are open");
         }
-        if let Some(record) = self.final_record(waiting.job()) {
-            return self.tell(&waiting, &record, now);
+        if self.is_final(waiting.job()) {
+            return self.tell(waiting, now);
         }
         if !self.election.state_ok(now.time) {
             return self.forward_or_refuse(waiting, now);
@@ -107,14 +113,13 @@
         self.serve(waiting, now);
     }
 
-    fn final_record(&self, id: &JobId) -> Option<JobRecord> {
-        let known = self.directory.jobs.get(id)?;
-        known.record.is_final().then(|| known.record.clone())
+    fn is_final(&self, id: &JobId) -> bool {
+        (self.directory.jobs.get(id)).is_some_and(|known| known.record.is_final())
     }
 
     fn serve(&mut self, waiting: Waiting, now: Now) {
-        if let Some(record) = self.final_record(waiting.job()) {
-            return self.tell(&waiting, &record, now);
+        if self.is_final(waiting.job()) {
+            return self.tell(waiting, now);
         }
         let known = self.directory.jobs.get(waiting.job()).cloned();
         match (&waiting.request, known) {
@@ -221,8 +226,8 @@
         let mut batch: BTreeMap<JobId, Version> = BTreeMap::new();
         let mut members = Vec::new();
         while let Some(waiting) = self.reads.gather.pop_front() {
-            if let Some(record) = self.final_record(waiting.job()) {
-                self.tell(&waiting, &record, now);
+            if self.is_final(waiting.job()) {
+                self.tell(waiting, now);
                 continue;
             }
             if now.time > waiting.since + PATIENCE {
@@ -279,21 +284,27 @@
                     return self.refuse(waiting.req, "unreadable record");
                 };
                 let id = waiting.job().clone();
-                self.directory.learn_job(id, item.version, record.clone());
-                match waiting.request {
-                    UserRequest::Withdraw(_) if !record.is_final() => {
-                        self.cancel(waiting, item.version, record, now)
+                self.directory.learn_job(id, item.version, record);
+                // What the cache has learned since is newer still.
+                let newest = self.directory.jobs.get(waiting.job()).cloned();
+                match (&waiting.request, newest) {
+                    (UserRequest::Withdraw(_), Some(known)) if !known.record.is_final() => {
+                        self.cancel(waiting, known.version, known.record, now)
                     }
-                    _ => self.tell(&waiting, &record, now),
+                    _ => self.tell(waiting, now),
                 }
             }
+            // It was read before what the cache has learned since.
+            StateAnswer::Missing if self.directory.jobs.contains_key(waiting.job()) => {
+                self.again(waiting, now)
+            }
             StateAnswer::Missing => match &waiting.request {
                 UserRequest::Submit(spec) => match self.never_runs(spec) {
                     Some(Ok(())) => self.create(waiting, now),
                     Some(Err(why)) => self.answer(waiting.req, 422, error_body(why)),
                     None => self.refuse(waiting.req, "the machine types are not known yet"),
                 },
-                _ => self.no_such_job(&waiting),
+                _ => self.no_such_job(waiting, now),
             },
             _ => self.forward_or_refuse(waiting, now),
         }
@@ -308,6 +319,10 @@
                 let record = JobRecord::queued(spec, now.wall);
                 let id = spec.id.clone();
                 self.directory.learn_job(id.clone(), version, record);
+                if self.is_final(&id) {
+                    // Another node has read it and cancelled it meanwhile.
+                    return self.tell(waiting, now);
+                }
                 let state = JobState::Queued;
                 self.answer(waiting.req, 201, json(&JobAnswer { id, state }));
             }
@@ -336,8 +351,8 @@
         match answer {
             StateAnswer::Committed(version) => {
                 let id = waiting.job().clone();
-                self.directory.learn_job(id, version, record.clone());
-                self.tell(&waiting, &record, now);
+                self.directory.learn_job(id, version, record);
+                self.tell(waiting, now);
             }
             StateAnswer::Conflict(_) | StateAnswer::Unknown => self.again(waiting, now),
             _ => self.forward_or_refuse(waiting, now),
@@ -365,14 +380,10 @@
         let mut again: BTreeMap<JobId, Vec<Waiting>> = BTreeMap::new();
         for waiting in members {
             let id = waiting.job();
-            let record = self.directory.jobs.get(id).map(|k| k.record.clone());
             let fresh = !stale.contains(id.as_str());
-            match (record, versions.get(id)) {
-                // What the cache has learned since is newer still.
-                (Some(record), Some(version)) if fresh && *version != Version(0) => {
-                    self.tell(&waiting, &record, now)
-                }
-                (_, Some(Version(0))) if fresh => self.no_such_job(&waiting),
+            match versions.get(id) {
+                Some(Version(0)) if fresh => self.no_such_job(waiting, now),
+                Some(_) if fresh => self.tell(waiting, now),
                 _ => again.entry(id.clone()).or_default().push(waiting),
             }
         }
@@ -382,37 +393,63 @@
         }
     }
 
-    fn no_such_job(&mut self, waiting: &Waiting) {
+    /// There was no such job when that was asked. If one was accepted since, an answer that says so may
+    /// have been given by now.
+    fn no_such_job(&mut self, waiting: Waiting, now: Now) {
+        if self.directory.jobs.contains_key(waiting.job()) {
+            return self.again(waiting, now);
+        }
         self.answer(waiting.req, 404, error_body("no such job"));
     }
 
     /// The answer to a read for all that ask about a job.
     fn was_read_for(&mut self, id: JobId, members: Vec<Waiting>, answer: StateAnswer, now: Now) {
-        let record = match answer {
+        let read = match answer {
             StateAnswer::Found(item) => match serde_json::from_value::<JobRecord>(item.value) {
                 Ok(record) => {
-                    self.directory.learn_job(id, item.version, record.clone());
-                    Some(record)
+                    self.directory.learn_job(id, item.version, record);
+                    true
                 }
-                Err(_) => None,
+                Err(_) => false,
             },
             StateAnswer::Missing => {
-                return members.iter().for_each(|w| self.no_such_job(w));
+                return (members.into_iter()).for_each(|w| self.no_such_job(w, now));
             }
-            _ => None,
+            _ => false,
         };
         for waiting in members {
-            match &record {
-                Some(record) => self.tell(&waiting, record, now),
-                None => self.forward_or_refuse(waiting, now),
+            if read {
+                self.tell(waiting, now);
+            } else {
+                self.forward_or_refuse(waiting, now);
             }
         }
     }
 
-    /// Answers by a record that is fresh, or final.
-    fn tell(&mut self, waiting: &Waiting, record: &JobRecord, now: Now) {
-        self.reads.latency.note(now.time - waiting.since);
+    /// Answers by what is known of a job, which is fresh, or final. That a job is cancelled is told only
+    /// once enough nodes know it.
+    fn tell(&mut self, waiting: Waiting, now: Now) {
+        let cancelled = (self.directory.jobs.get(waiting.job()))
+            .filter(|known| known.record.state == JobState::Cancelled)
+            .map(|known| known.version);
+        if cancelled.is_some_and(|version| self.waits_for_others(&waiting, version, now)) {
+            return;
+        }
+        self.tell_now(&waiting, now);
+    }
+
+    /// The one place where a job's state is told: by the newest that is known at this moment.
+    pub(crate) fn tell_now(&mut self, waiting: &Waiting, now: Now) {
         let id = waiting.job().clone();
+        let Some(record) = self
+            .directory
+            .jobs
+            .get(&id)
+            .map(|known| known.record.clone())
+        else {
+            return self.refuse(waiting.req, "the job is not known here");
+        };
+        self.reads.latency.note(now.time - waiting.since);
         let tasks = record.tasks;
         let (done, running) = self.counts(&id);
         let state = match record.state {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -8,9 +8,12 @@
 //! | `epoch` | the leader | the last epoch given out |
 //! | `book/<page>` | the leader, before a start is sent | tasks that may be on machines; tasks that are done |
 //! | `pub/catalog` | the leader | machine types as last fetched |
+//! | `pub/known/<node>` | that node, while links between nodes fail | which cancellations it knows |
 
 use crate::units::Wall;
-use rudderreel_wire::ids::{Attempt, Epoch, JobId, LeaseId, MachineId, NodeName, TypeName, Zone};
+use rudderreel_wire::ids::{
+    Attempt, Epoch, JobId, LeaseId, MachineId, NodeName, TypeName, Version, Zone,
+};
 use rudderreel_wire::job::{JobSpec, JobState};
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +27,8 @@
 pub const ADMIN: &str = "pub/admin";
 /// The epoch's key.
 pub const EPOCH: &str = "epoch";
+/// Prefix of what nodes say about the cancellations that they know, when they can't tell one another.
+pub const KNOWN: &str = "pub/known/";
 /// Prefix of the pages of the leader's books.
 pub const BOOKS: &str = "book/";
 /// The catalog's key.
@@ -111,6 +116,16 @@
     pub lease: LeaseId,
 }
 
+/// Which cancellations a node knows, for nodes that it can't reach.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct KnownRecord {
+    /// Every cancellation committed up to this revision.
+    pub known_to: Version,
+    /// The node asks the others to write that they know everything up to here.
+    #[serde(default)]
+    pub asks: Version,
+}
+
 /// The last epoch given out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EpochRecord {
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -128,8 +128,10 @@
             let known = match prefix {
                 JOBS => name.parse().ok().and_then(|id: JobId| {
                     let record: JobRecord = serde_json::from_value(item.value).ok()?;
-                    lead.learn_job(&id, item.version, &record);
-                    self.directory.learn_job(id, item.version, record);
+                    // Another node may have told of something newer.
+                    self.directory.learn_job(id.clone(), item.version, record);
+                    let known = self.directory.jobs.get(&id)?;
+                    lead.learn_job(&id, known.version, &known.record);
                     Some(())
                 }),
                 _ => PageId::of_name(name).and_then(|page| {
@@ -265,10 +267,11 @@
         match answer {
             StateAnswer::Found(item) => {
                 if let Ok(record) = serde_json::from_value::<JobRecord>(item.value) {
-                    if let Some(lead) = self.lead.as_mut() {
-                        lead.learn_job(&id, item.version, &record);
-                    }
                     self.directory.learn_job(id.clone(), item.version, record);
+                    let known = self.directory.jobs.get(&id);
+                    if let (Some(lead), Some(known)) = (self.lead.as_mut(), known) {
+                        lead.learn_job(&id, known.version, &known.record);
+                    }
                 }
                 if let Some(job) = self.lead.as_mut().and_then(|l| l.jobs.get_mut(&id)) {
                     job.committing = false;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -149,11 +149,17 @@
         f64::from(machines) > self.admin_settings.settings.spread_reports_from
     }
 
-    /// The leader, if it was heard lately.
+    /// The leader, if it was heard lately. A node that the state service refuses may not have seen its
+    /// key change, but hears who leads a later epoch.
     pub(crate) fn near_leader(&self, now: Time) -> Option<NodeName> {
-        let (_, record) = self.directory.leader.as_ref()?;
-        let peer = self.peers.get(&record.node)?;
-        (peer.leads && now < peer.heard + Span(1_500)).then(|| record.node.clone())
+        let leads = |p: &PeerView| p.leads && now < p.heard + Span(1_500);
+        let recorded = self.directory.leader.as_ref().map(|(_, r)| &r.node);
+        let named = recorded.filter(|node| self.peers.get(*node).is_some_and(leads));
+        let heard = (self.peers.iter())
+            .filter(|(_, p)| leads(p) && p.epoch >= self.election.epoch)
+            .max_by_key(|(_, p)| p.epoch)
+            .map(|(name, _)| name);
+        named.or(heard).cloned()
     }
 
     /// Whether the node after one, by name, has been silent for a while. A worker whose node ends or
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -1,6 +1,7 @@
 //! Whole days in a small simulated world, with the protocol's rules as assertions.
 
 mod added;
+mod gap;
 mod stores;
 mod worker;
 mod world;
@@ -96,7 +97,7 @@
         lease_s: 12,
         ..Plan::default()
     };
-    let mut world = World::of(610, plan);
+    let mut world = World::of(611, plan);
     world.run_until(40_000);
     assert!(world.workers.len() >= 1_000, "{}", world.workers.len());
     world.faults = true;
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -12,9 +12,11 @@
     CallId, Core, DirectOutcome, Input, Output, ReqId, StateAnswer, UserRequest,
 };
 use rudderreel_wire::admin::AdminSettings;
-use rudderreel_wire::ids::{Attempt, JobId, MachineId, Version};
+use rudderreel_wire::ids::{Attempt, JobId, MachineId, NodeName, Version};
 use rudderreel_wire::job::{JobSpec, JobState, Kind};
-use rudderreel_wire::peer::{Forward, HeartbeatReply, Reports, ReportsReply};
+use rudderreel_wire::peer::{
+    Announcement, AnnouncementReply, Forward, HeartbeatReply, Reports, ReportsReply,
+};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::worker::{DirectCommands, Report, ReportElsewhere, ReportReply, TaskState};
 use serde_json::Value;
@@ -28,11 +30,12 @@
     Beat(usize, Time),
     Admin,
     Passed(usize, u32, CallId),
+    Announced(usize, u32),
     /// A late copy: whoever sent it is not there any more.
     Nobody,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Asked {
     Submit,
     Status,
@@ -50,6 +53,7 @@
     Copy(usize, Box<Report>),
     Sweep(usize),
     Pass(usize, usize, u32, CallId, Reports),
+    Announce(usize, usize, u32, Announcement),
     Beat(usize, usize, u32, rudderreel_wire::peer::Heartbeat),
     Forward(usize, usize, u32, ReqId, Forward),
     Report(MachineId),
@@ -112,6 +116,8 @@
     pub zones: bool,
     /// Milliseconds from one look at a user's turn to the next, at most.
     pub pace: u64,
+    /// Users do only what the test has them do.
+    pub scripted: bool,
 }
 
 impl Default for Plan {
@@ -128,6 +134,7 @@
             only: None,
             zones: false,
             pace: 400,
+            scripted: false,
         }
     }
 }
@@ -150,6 +157,8 @@
     plan: Plan,
     state_slow_until: u64,
     next_check: u64,
+    /// Nodes that can't reach one another.
+    pub cut_pairs: Vec<(usize, usize)>,
     /// A zone that is cut off from everything, and until when. It goes on inside.
     dark: Option<(&'static str, u64)>,
     /// Since when there are no troubles.
@@ -234,6 +243,7 @@
             starts: 0,
             state_slow_until: 0,
             next_check: 0,
+            cut_pairs: Vec::new(),
             dark: None,
             calm_since: None,
             admin_answer: None,
@@ -250,7 +260,9 @@
         for node in 0..world.plan.nodes {
             world.start(node);
         }
-        world.after(500, Event::User);
+        if !world.plan.scripted {
+            world.after(500, Event::User);
+        }
         world.after(5_000, Event::Fault);
         world
     }
@@ -385,6 +397,7 @@
                 }
             }
             Event::Pass(from, to, life, id, reports) => self.pass(from, to, life, id, reports),
+            Event::Announce(from, to, life, told) => self.announce(from, to, life, told),
             Event::Sweep(round) => self.sweep(round),
             Event::Answer(id, session, sent, status, body) => {
                 self.answered(&id, session, sent, status, &body)
@@ -443,7 +456,9 @@
     }
 
     fn connected(&self, a: usize, b: usize) -> bool {
-        !self.apart(zone_of(a), zone_of(b))
+        let pair = [(a, b), (b, a)];
+        !self.cut_pairs.iter().any(|cut| pair.contains(cut))
+            && !self.apart(zone_of(a), zone_of(b))
             && self.now >= self.nodes[a].cut_peers_until
             && self.now >= self.nodes[b].cut_peers_until
     }
@@ -485,11 +500,14 @@
                 Output::AnswerHeartbeat(req, reply) => self.beat_back(node, req, reply),
                 Output::AnswerReports(req, reply) => self.reports_back(node, req, reply),
                 Output::PassReports(peer, id, reports) => {
-                    let to = (0..self.plan.nodes)
-                        .find(|i| self.settings[*i].node == peer)
-                        .expect("a peer");
+                    let to = self.node_of(&peer);
                     self.after(hop, Event::Pass(node, to, life, id, reports));
                 }
+                Output::AnswerAnnounced(req, reply) => self.announced_back(node, req, reply),
+                Output::Announce(peer, told) => {
+                    let to = self.node_of(&peer);
+                    self.after(hop, Event::Announce(node, to, life, told));
+                }
                 Output::State(id, call) => {
                     self.after(hop, Event::State(node, life, id, now.time, call))
                 }
@@ -504,15 +522,45 @@
                     }
                 }
                 Output::Forward(peer, req, forward) => {
-                    let to = (0..self.plan.nodes)
-                        .find(|i| self.settings[*i].node == peer)
-                        .expect("a peer");
+                    let to = self.node_of(&peer);
                     self.after(hop, Event::Forward(node, to, life, req, forward));
                 }
             }
         }
     }
 
+    fn node_of(&self, name: &NodeName) -> usize {
+        (0..self.plan.nodes)
+            .find(|i| self.settings[*i].node == *name)
+            .expect("a peer")
+    }
+
+    fn announce(&mut self, from: usize, to: usize, life: u32, told: Announcement) {
+        let name = self.settings[to].node.clone();
+        let lost = self.faults && self.rng.random_bool(0.02);
+        let gone = self.nodes[to].core.is_none() || !self.connected(from, to);
+        if lost && !gone {
+            // It arrives, and the answer is lost.
+            let req = self.ask(to, Asker::Nobody);
+            self.step(to, Input::Announced(req, told));
+        } else if !gone {
+            let req = self.ask(to, Asker::Announced(from, life));
+            return self.step(to, Input::Announced(req, told));
+        }
+        self.after(
+            600,
+            Event::Input(from, life, Input::AnnounceReply(name, None)),
+        );
+    }
+
+    fn announced_back(&mut self, node: usize, req: ReqId, reply: AnnouncementReply) {
+        if let Some(Asker::Announced(from, life)) = self.nodes[node].askers.remove(&req) {
+            let (hop, name) = (self.hop(), self.settings[node].node.clone());
+            let input = Input::AnnounceReply(name, Some(reply));
+            self.after(hop, Event::Input(from, life, input));
+        }
+    }
+
     fn pass(&mut self, from: usize, to: usize, life: u32, id: CallId, reports: Reports) {
         let lost = self.faults && self.rng.random_bool(0.02);
         let gone = self.nodes[to].core.is_none() || !self.connected(from, to);
@@ -767,7 +815,7 @@
                 let input = Input::ForwardReply(req, Some((status, body)));
                 self.after(hop, Event::Input(from, life, input));
             }
-            Asker::Beat(..) | Asker::Passed(..) | Asker::Nobody => {}
+            Asker::Beat(..) | Asker::Passed(..) | Asker::Announced(..) | Asker::Nobody => {}
             Asker::Admin => self.admin_answer = Some((status, body)),
         }
     }
@@ -819,18 +867,7 @@
             } else {
                 self.new_job()
             };
-            let told = Told {
-                spec: spec.clone(),
-                accepted: false,
-                last: None,
-                cancelled_at: None,
-                final_at: 0,
-                asked_at: self.now,
-                accepted_at: 0,
-                begun_at: None,
-                answered: BTreeMap::new(),
-            };
-            self.jobs.insert(spec.id.clone(), told);
+            self.add_job(spec);
         }
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         if ids.is_empty() {
@@ -846,14 +883,35 @@
         } else {
             Asked::Status
         };
+        let node = self.rng.random_range(0..self.plan.nodes);
+        self.user_asks(node, &id, asked);
+    }
+
+    /// A job that a user is about to submit.
+    pub fn add_job(&mut self, spec: JobSpec) {
+        let told = Told {
+            spec: spec.clone(),
+            accepted: false,
+            last: None,
+            cancelled_at: None,
+            final_at: 0,
+            asked_at: self.now,
+            accepted_at: 0,
+            begun_at: None,
+            answered: BTreeMap::new(),
+        };
+        self.jobs.insert(spec.id.clone(), told);
+    }
+
+    /// A user asks something of a node, if it is up.
+    pub fn user_asks(&mut self, node: usize, id: &JobId, asked: Asked) {
         let request = match asked {
-            Asked::Submit => UserRequest::Submit(Box::new(told.spec.clone())),
+            Asked::Submit => UserRequest::Submit(Box::new(self.jobs[id].spec.clone())),
             Asked::Status => UserRequest::Status(id.clone()),
             Asked::Withdraw => UserRequest::Withdraw(id.clone()),
         };
-        let node = self.rng.random_range(0..self.plan.nodes);
         if self.nodes[node].core.is_some() {
-            let req = self.ask(node, Asker::User(id, asked, self.now));
+            let req = self.ask(node, Asker::User(id.clone(), asked, self.now));
             self.step(node, Input::User(req, request));
         }
     }
@@ -910,7 +968,7 @@
         let node = round % self.plan.nodes;
         let since = self.calm_since.unwrap_or(self.now);
         let ids: Vec<JobId> = (self.jobs.iter())
-            .filter(|(_, t)| t.accepted && t.cancelled_at.is_none())
+            .filter(|(_, t)| t.accepted)
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
@@ -1014,7 +1072,9 @@
         self.admin_answer = None;
         let req = self.ask(node, Asker::Admin);
         self.step(node, Input::Admin(req, request, true));
-        self.run_until(self.now + 500);
+        if self.admin_answer.is_none() {
+            self.run_until(self.now + 500);
+        }
         let (status, body) = self.admin_answer.take().expect("an answer");
         (status, serde_json::from_str(&body).expect("JSON"))
     }
@@ -1028,6 +1088,14 @@
         self.admin_answer.take().expect("an answer").0
     }
 
+    /// How many tasks of a job are on machines.
+    pub fn on_machines(&self, id: &JobId) -> usize {
+        let tasks = self.workers.values().flat_map(|w| w.tasks.values());
+        tasks
+            .filter(|t| t.task.job == *id && t.on_machine())
+            .count()
+    }
+
     /// A machine that holds tasks, if there is one.
     pub fn busy_machine(&self) -> Option<MachineId> {
         let busy = |w: &&Worker| w.tasks.values().any(super::worker::Task::on_machine);
@@ -1048,6 +1116,29 @@
         self.nodes[node].cut_peers_until = until;
     }
 
+    /// A user withdraws a job and is gone before the answer comes.
+    pub fn withdraw_and_leave(&mut self, node: usize, id: &JobId) {
+        let req = self.ask(node, Asker::Nobody);
+        self.step(node, Input::User(req, UserRequest::Withdraw(id.clone())));
+    }
+
+    /// The state service refuses a node.
+    pub fn cut_state(&mut self, node: usize, until: u64) {
+        self.nodes[node].cut_state_until = until;
+    }
+
+    /// Connections between nodes are refused.
+    pub fn cut_links(&mut self, until: u64) {
+        for node in &mut self.nodes {
+            node.cut_peers_until = until;
+        }
+    }
+
+    /// Ends a node, for so long.
+    pub fn end_for(&mut self, node: usize, back: u64) {
+        self.end(node, back);
+    }
+
     /// Cuts a node off from all workers.
     pub fn cut_workers(&mut self, node: usize, until: u64) {
         self.nodes[node].cut_workers_until = until;
@@ -1177,6 +1268,7 @@
             node.slow_until = 0;
         }
         self.state_slow_until = 0;
+        self.cut_pairs.clear();
         self.dark = None;
         self.cloud.down = false;
         for worker in self.workers.values_mut() {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,6 @@
 //! What the nodes tell one another, in bitcode.
 
-use crate::ids::Epoch;
+use crate::ids::{Epoch, Version};
 use bitcode::{Decode, Encode};
 
 /// Sent to every other node a few times a second.
@@ -29,6 +29,51 @@
     pub dark: Vec<(String, u64)>,
     /// The leader's counts of tasks, for display, now and then.
     pub counts: Option<Vec<Count>>,
+    /// Every cancellation committed up to this revision is known to the sender; 0 if it has not read
+    /// the jobs since it started.
+    pub known_to: Version,
+}
+
+/// A cancelled job, as one node tells another of it.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct CancelledJob {
+    /// The job.
+    pub job: String,
+    /// The revision of the commit that cancelled it.
+    pub version: Version,
+    /// When that was, by the time of day in milliseconds.
+    pub cancelled_ms: u64,
+    /// When it was submitted.
+    pub submitted_ms: u64,
+    /// How many tasks it has.
+    pub tasks: u32,
+}
+
+/// Cancellations that a node makes known to the others before any user is told of them.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Announcement {
+    /// Who sends it.
+    pub from: String,
+    /// As in a heartbeat.
+    pub known_to: Version,
+    /// The jobs.
+    pub cancelled: Vec<CancelledJob>,
+}
+
+/// Answer to an announcement: everything in it is known to this node from now on.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct AnnouncementReply {
+    /// As in a heartbeat.
+    pub known_to: Version,
+}
+
+/// What a node must know before a word counts for it.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Catchup {
+    /// With these, every cancellation up to here is known to the node that asked for the word.
+    pub known_to: Version,
+    /// What it lacked.
+    pub cancelled: Vec<CancelledJob>,
 }
 
 /// Tasks of one job, for display.
@@ -56,6 +101,10 @@
     pub word: bool,
     /// Milliseconds since a worker last reported here, whatever it was answered.
     pub worker_silence_ms: u64,
+    /// Every cancellation committed up to this revision is known to this node.
+    pub known_to: Version,
+    /// With a word, and on the way to one: the cancellations that the asking node lacks.
+    pub catchup: Option<Catchup>,
 }
 
 /// A user's request, forwarded by a node that the state service does not answer.
