The simulated world has every trouble of the meetings, and checks more rules

Troubles are named and drawn in general form: late writes and lost answers, late reports and those for the next leader, mute and slow machines, a leader that hears only workers, all nodes away for longer than a lease, cancellations at once with machines that hang, at the end of a job's last task, in the seconds of a take-over, close looks at all nodes, odd requests, jobs bound to a zone, tasks that end far apart, machines up within two seconds, teams at their limits, four jobs a second.

The checker also covers: a job called cancelled that nobody cancelled, starts sent after a user was told, jobs accepted that can't run, jobs left waiting for 90 s beside room under the limit, and cancelled jobs are asked after like others. Replicas are left out of the waiting rule: they run only within quota (questions).

--- a/crates/core/tests/sim/added.rs
+++ b/crates/core/tests/sim/added.rs
@@ -1,7 +1,7 @@
 //! The rules and troubles that users added: each trouble alone, and what each must not lead to. They
 //! are mixed with all others in the days of `main`.
 
-use super::world::{Plan, World};
+use super::world::{Plan, Trouble, World};
 use super::{day, unfinished};
 use rudderreel_core::{Core, Input, Output, StateAnswer, StateCall};
 use rudderreel_wire::ids::{Epoch, JobId, MachineId, Seq, Session, Version};
@@ -9,11 +9,11 @@
 use rudderreel_wire::state::Page;
 use rudderreel_wire::worker::{Report, TaskReport, TaskState};
 
-fn alone(only: u32, nodes: usize, seeds: std::ops::Range<u64>) {
+fn alone(only: Trouble, nodes: usize, seeds: std::ops::Range<u64>) {
     for seed in seeds {
         let plan = Plan {
             nodes,
-            only: Some(only),
+            only: vec![only],
             jobs: 30,
             ..Plan::default()
         };
@@ -25,21 +25,21 @@
 /// election, of raising the epoch or of recording starts.
 #[test]
 fn quick_returns() {
-    alone(9, 3, 500..502);
-    alone(10, 5, 502..504);
+    alone(Trouble::NodeBlinks, 3, 500..502);
+    alone(Trouble::AllBlink, 5, 502..504);
 }
 
 /// A node without state service and peers, but with its workers.
 #[test]
 fn nodes_that_hear_only_workers() {
-    alone(11, 3, 510..512);
-    alone(11, 5, 512..514);
+    alone(Trouble::HearsOnlyWorkers, 3, 510..512);
+    alone(Trouble::HearsOnlyWorkers, 5, 512..514);
 }
 
 #[test]
 fn machines_that_hear_nobody() {
-    alone(12, 3, 520..522);
-    alone(12, 5, 522..524);
+    alone(Trouble::MachinesDeaf, 3, 520..522);
+    alone(Trouble::MachinesDeaf, 5, 522..524);
 }
 
 /// Zones that are cut off from everything while their nodes and machines go on inside, mixed with
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -2,6 +2,7 @@
 
 mod added;
 mod gap;
+mod meetings;
 mod stores;
 mod worker;
 mod world;
@@ -128,6 +129,7 @@
     world.run_until(400_000);
     assert!(world.starts > 0, "nothing_ran");
     assert_eq!(unfinished(&world), Vec::<String>::new(), "seed {seed}");
+    world.check_starts();
     world.check_served();
 }
 
--- a/crates/core/tests/sim/stores.rs
+++ b/crates/core/tests/sim/stores.rs
@@ -56,6 +56,18 @@
         self.down = down;
     }
 
+    /// A number that a key holds.
+    pub fn number(&self, key: &str, field: &str) -> u64 {
+        let value = self.keys.get(key).map(|item| &item.value[field]);
+        value.and_then(Value::as_u64).unwrap_or(0)
+    }
+
+    /// A text that a key holds.
+    pub fn text(&self, key: &str, field: &str) -> Option<String> {
+        let item = self.keys.get(key)?;
+        item.value[field].as_str().map(str::to_string)
+    }
+
     fn expire(&mut self, now: u64) {
         let over: Vec<u64> = (self.leases.iter())
             .filter(|(_, (_, until))| *until <= now)
@@ -221,21 +233,28 @@
     up: BTreeSet<MachineId>,
     next: u32,
     most: usize,
+    /// How long machines take to come up, at least and at most.
+    boot_ms: (u64, u64),
     /// Its interface is down.
     pub down: bool,
 }
 
-const BOOT_MS: u64 = 4_000;
-
 impl Cloud {
     /// A cloud with so many machines.
-    pub fn of(most: usize) -> Self {
+    pub fn of(most: usize, boot_ms: (u64, u64)) -> Self {
         Self {
             most,
+            boot_ms,
             ..Self::default()
         }
     }
 
+    /// How long a machine takes to come up: some sooner, some later.
+    fn boot(&self, id: &MachineId) -> u64 {
+        let n = id.as_str().bytes().map(u64::from).sum::<u64>() % 7;
+        self.boot_ms.0 + (self.boot_ms.1 - self.boot_ms.0) * n / 6
+    }
+
     pub fn has(&self, id: &MachineId) -> bool {
         self.machines.contains_key(id)
     }
@@ -243,7 +262,7 @@
     /// Machines that have come up since the last time.
     pub fn booted(&mut self, now: u64) -> Vec<(MachineId, Rent)> {
         let new: Vec<(MachineId, Rent)> = (self.machines.iter())
-            .filter(|(id, (_, at))| now >= at + BOOT_MS && !self.up.contains(*id))
+            .filter(|(id, (_, at))| now >= at + self.boot(id) && !self.up.contains(*id))
             .map(|(id, (rent, _))| (id.clone(), rent.clone()))
             .collect();
         self.up.extend(new.iter().map(|(id, _)| id.clone()));
--- a/crates/core/tests/sim/worker.rs
+++ b/crates/core/tests/sim/worker.rs
@@ -15,6 +15,7 @@
     pub since: u64,
     service: bool,
     pub gang: Option<u32>,
+    run_ms: u64,
     /// Since when another task of its gang has been gone.
     pub broken: Option<u64>,
 }
@@ -47,13 +48,14 @@
     pub cut_until: u64,
     /// Its reports arrive, but nothing reaches it.
     pub deaf_until: u64,
+    /// Its reports reach nobody, but commands reach it.
+    pub mute_until: u64,
     /// It does nothing, and goes on later.
     pub hung_until: u64,
     pub starts: u32,
 }
 
 const FETCH_MS: u64 = 500;
-const RUN_MS: u64 = 4_000;
 const GANG_WAIT_MS: u64 = 10_000;
 const GANG_PEER_MS: u64 = 2_000;
 
@@ -70,6 +72,7 @@
             node: 0,
             cut_until: 0,
             deaf_until: 0,
+            mute_until: 0,
             hung_until: 0,
             starts: 0,
         }
@@ -136,7 +139,9 @@
                 if task.state == TaskState::Running {
                     task.exit(Cause::Peers);
                 }
-            } else if task.state == TaskState::Running && !task.service && now > task.since + RUN_MS
+            } else if task.state == TaskState::Running
+                && !task.service
+                && now > task.since + task.run_ms
             {
                 task.exit(Cause::Done);
                 let done = results.entry(task.task.job.clone()).or_default();
@@ -175,6 +180,7 @@
                     since: now,
                     service: job.spec.kind == Kind::Service,
                     broken: None,
+                    run_ms: job.run_ms.0 + job.run_ms.1 * u64::from(task.index),
                     gang: (job.spec.kind == Kind::Gang).then_some(job.spec.tasks),
                 };
                 self.tasks.insert(key, new);
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -13,15 +13,110 @@
 };
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::ids::{Attempt, JobId, MachineId, NodeName, Version};
-use rudderreel_wire::job::{JobSpec, JobState, Kind};
+use rudderreel_wire::job::{JobSpec, JobState, Kind, Priority};
 use rudderreel_wire::peer::{
     Announcement, AnnouncementReply, Forward, HeartbeatReply, Reports, ReportsReply,
 };
 use rudderreel_wire::settings::Settings;
-use rudderreel_wire::worker::{DirectCommands, Report, ReportElsewhere, ReportReply, TaskState};
+use rudderreel_wire::worker::{
+    Command, DirectCommands, Report, ReportElsewhere, ReportReply, TaskState,
+};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// What goes wrong, or makes it harder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    NodeEnds,
+    LeaderEnds,
+    AllEnd,
+    /// All nodes are away for longer than a worker's lease.
+    AllAway,
+    /// Back before anybody may have noticed.
+    NodeBlinks,
+    AllBlink,
+    SlowNode,
+    StateDown,
+    StateBack,
+    SlowState,
+    /// The state service refuses a node.
+    NodeRefused,
+    LeaderRefused,
+    /// That share of transactions is carried out seconds later, after newer ones.
+    LateWrites,
+    /// Transactions are carried out at once, and only the answer is lost.
+    LostAnswers,
+    CutFromPeers,
+    CutFromWorkers,
+    /// A node hears nobody but workers and users.
+    HearsOnlyWorkers,
+    LeaderHearsOnlyWorkers,
+    /// Messages take long.
+    SlowLinks,
+    MachinesCut,
+    /// Reports arrive, and nothing reaches the machine.
+    MachinesDeaf,
+    /// Reports reach nobody, and commands the machine.
+    MachinesMute,
+    MachinesHang,
+    MachinesReboot,
+    /// Copies of reports arrive again, up to several leases later.
+    LateReports,
+    /// Copies of reports reach every node just as a new leader begins.
+    ReportsForNext,
+    CloudDown,
+    ZoneCut,
+    /// Users call off several running jobs at once, and some of their machines hang.
+    CancelNow,
+    /// Jobs are called off at the moment at which their last task ends.
+    CancelAtEnd,
+    /// Users ask at all nodes within milliseconds, and repeat submissions, after they were told something.
+    CloseLooks,
+    /// Submissions that can't be, and cancellations of what is done.
+    OddRequests,
+    /// Every team is at its limit, or within a task of it. This comes by itself.
+    TeamsAtLimit,
+}
+
+/// Troubles of every kind, as often as they come when none are named.
+const TROUBLES: [Trouble; 32] = {
+    use Trouble::*;
+    [
+        NodeEnds,
+        NodeEnds,
+        LeaderEnds,
+        AllEnd,
+        AllAway,
+        NodeBlinks,
+        AllBlink,
+        SlowNode,
+        StateDown,
+        StateBack,
+        StateBack,
+        SlowState,
+        NodeRefused,
+        LeaderRefused,
+        LateWrites,
+        LostAnswers,
+        CutFromPeers,
+        CutFromWorkers,
+        HearsOnlyWorkers,
+        LeaderHearsOnlyWorkers,
+        MachinesCut,
+        MachinesDeaf,
+        MachinesMute,
+        MachinesHang,
+        MachinesReboot,
+        LateReports,
+        ReportsForNext,
+        CloudDown,
+        CancelNow,
+        CancelAtEnd,
+        CloseLooks,
+        OddRequests,
+    ]
+};
+
 /// Who waits for the answer to a request.
 enum Asker {
     Worker(MachineId, u64),
@@ -31,6 +126,8 @@
     Admin,
     Passed(usize, u32, CallId),
     Announced(usize, u32),
+    /// A submission that can't be accepted.
+    Odd(JobId),
     /// A late copy: whoever sent it is not there any more.
     Nobody,
 }
@@ -52,6 +149,7 @@
     Direct(usize, u32, MachineId, DirectCommands, bool),
     Copy(usize, Box<Report>),
     Sweep(usize),
+    Look(usize, JobId, Asked),
     Pass(usize, usize, u32, CallId, Reports),
     Announce(usize, usize, u32, Announcement),
     Beat(usize, usize, u32, rudderreel_wire::peer::Heartbeat),
@@ -82,6 +180,12 @@
     pub accepted: bool,
     pub last: Option<JobState>,
     pub cancelled_at: Option<u64>,
+    /// Whether its user asked to cancel it.
+    pub withdrawn: bool,
+    /// Since when a machine had room for a task of it and its team was under its limit.
+    fits_since: Option<u64>,
+    /// How long each of its tasks runs.
+    pub run_ms: (u64, u64),
     pub final_at: u64,
     /// When it was first asked to be taken, and taken.
     pub asked_at: u64,
@@ -110,14 +214,26 @@
     pub report_s: f64,
     /// Jobs have many tasks.
     pub large: bool,
-    /// Only this kind of trouble comes.
-    pub only: Option<u32>,
+    /// Only these troubles come; all that there are if none are named.
+    pub only: Vec<Trouble>,
     /// Whole zones are cut off, too.
     pub zones: bool,
     /// Milliseconds from one look at a user's turn to the next, at most.
     pub pace: u64,
     /// Users do only what the test has them do.
     pub scripted: bool,
+    /// Milliseconds that machines take to come up, at least and at most.
+    pub boot_ms: (u64, u64),
+    /// Tasks of a job end far apart.
+    pub uneven: bool,
+    /// Half of the jobs are bound to a zone.
+    pub bound: bool,
+    /// No replicas: they would keep to themselves what their teams may use.
+    pub no_replicas: bool,
+    /// CPUs that the two teams may use.
+    pub limits: (u32, u32),
+    /// Jobs of one task, four a second, a quarter of which are cancelled.
+    pub rush: bool,
 }
 
 impl Default for Plan {
@@ -131,10 +247,16 @@
             lease_s: 6,
             report_s: 1.0,
             large: false,
-            only: None,
+            only: Vec::new(),
             zones: false,
             pace: 400,
             scripted: false,
+            boot_ms: (4_000, 4_000),
+            uneven: false,
+            bound: false,
+            no_replicas: false,
+            limits: (12, 20),
+            rush: false,
         }
     }
 }
@@ -152,10 +274,27 @@
     queue: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     next_job: u32,
+    next_odd: u32,
     pub faults: bool,
     pub starts: u32,
     plan: Plan,
     state_slow_until: u64,
+    late_writes_until: u64,
+    lost_answers_until: u64,
+    slow_links_until: u64,
+    late_reports_until: u64,
+    for_next_until: u64,
+    cancel_at_end_until: u64,
+    close_looks_until: u64,
+    /// Copies of reports that are kept for the next leader, and the epoch that was seen last.
+    kept: Vec<Report>,
+    epoch_seen: u64,
+    /// Jobs all of whose tasks have ended.
+    ended: BTreeSet<JobId>,
+    /// What went wrong, from when until when.
+    pub troubles: Vec<(Trouble, u64, u64)>,
+    /// Starts that a node sent after the job's user was told that it is cancelled.
+    pub starts_of_cancelled: Vec<(JobId, u64)>,
     next_check: u64,
     /// Nodes that can't reach one another.
     pub cut_pairs: Vec<(usize, usize)>,
@@ -184,7 +323,7 @@
     let (red, blue) = if plan.crowd || plan.large {
         (4000, 4000)
     } else {
-        (12, 20)
+        plan.limits
     };
     let mut text = format!(
         "node = \"n{me}\"\ndomain = \"z{me}\"\nfront = \"10.0.0.{me}:1\"\npeer_bind = \"10.0.0.{me}:2\"\n"
@@ -232,16 +371,29 @@
             rng,
             settings,
             store: Store::default(),
-            cloud: Cloud::of(plan.machines),
+            cloud: Cloud::of(plan.machines, plan.boot_ms),
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             results: BTreeMap::new(),
             queue: BTreeMap::new(),
             next_event: 0,
             next_job: 0,
+            next_odd: 0,
             faults: false,
             starts: 0,
             state_slow_until: 0,
+            late_writes_until: 0,
+            lost_answers_until: 0,
+            slow_links_until: 0,
+            late_reports_until: 0,
+            for_next_until: 0,
+            cancel_at_end_until: 0,
+            close_looks_until: 0,
+            kept: Vec::new(),
+            epoch_seen: 0,
+            ended: BTreeSet::new(),
+            troubles: Vec::new(),
+            starts_of_cancelled: Vec::new(),
             next_check: 0,
             cut_pairs: Vec::new(),
             dark: None,
@@ -277,6 +429,9 @@
         if self.faults && self.rng.random_bool(0.01) {
             return self.rng.random_range(200..900);
         }
+        if self.now < self.slow_links_until {
+            return self.rng.random_range(100..400);
+        }
         self.rng.random_range(1..6)
     }
 
@@ -389,6 +544,7 @@
                 let asked = self.ask(to, Asker::Peer(from, req));
                 self.step(to, Input::Forwarded(asked, request.expect("a job")));
             }
+            Event::Look(node, id, asked) => self.user_asks(node, &id, asked),
             Event::Report(id) => self.report(&id),
             Event::Copy(node, report) => {
                 if self.nodes[node].core.is_some() {
@@ -410,6 +566,7 @@
                 }
             }
         }
+        self.deliver_kept();
         // Of a whole fleet that takes long; what breaks a rule there does so for longer than this.
         if self.plan.machines <= FLEET || self.now >= self.next_check {
             self.next_check = self.now + 50;
@@ -485,6 +642,19 @@
         id
     }
 
+    /// Notes starts of jobs whose users were told that they are cancelled.
+    fn note_starts(&mut self, commands: &[Command]) {
+        for command in commands {
+            if let Command::Start { task, .. } = command {
+                let told = self.jobs.get(&task.job).and_then(|t| t.cancelled_at);
+                if let Some(at) = told {
+                    self.starts_of_cancelled
+                        .push((task.job.clone(), self.now - at));
+                }
+            }
+        }
+    }
+
     fn step(&mut self, node: usize, input: Input) {
         let now = self.clock(node);
         let life = self.nodes[node].life;
@@ -514,6 +684,7 @@
                 Output::Watch(after) => self.after(hop, Event::Watch(node, life, after)),
                 Output::Cloud(id, call) => self.after(hop, Event::Cloud(node, life, id, call)),
                 Output::Direct { machine, body, .. } => {
+                    self.note_starts(&body.commands);
                     self.after(hop, Event::Direct(node, life, machine, body, false))
                 }
                 Output::Heartbeat(beat) => {
@@ -624,8 +795,21 @@
             }
             return self.blink(node);
         }
+        let is_write =
+            matches!(&call, rudderreel_core::StateCall::Commit(t) if !t.changes.is_empty());
+        let late = self.now < self.late_writes_until && self.rng.random_bool(0.3);
+        let lost = self.now < self.lost_answers_until && self.rng.random_bool(0.3);
         let answer = if self.store.down || cut {
             StateAnswer::Refused
+        } else if is_write && (late || lost) {
+            if lost {
+                self.store.call(&call, self.now);
+            } else {
+                let delay = self.rng.random_range(2_000..12_000);
+                self.after(delay, Event::Late(call));
+            }
+            let input = Input::State(id, sent, StateAnswer::Unknown);
+            return self.after(1_200, Event::Input(node, life, input));
         } else if self.faults && self.rng.random_bool(0.01) {
             // The answer is lost; the call may be carried out, now, later or never.
             let delay = self.rng.random_range(0..8_000);
@@ -762,6 +946,7 @@
         let cut = apart[node]
             || worker.cut_until > self.now
             || self.nodes[node].cut_workers_until > self.now;
+        let mute = worker.mute_until > self.now;
         let deaf = worker.deaf_until > self.now;
         let next = if deaf { 5_000 } else { next };
         if deaf {
@@ -769,7 +954,8 @@
             worker.node = (node + 1) % nodes;
         }
         self.after(next, Event::Report(id.clone()));
-        if cut || self.nodes[node].core.is_none() {
+        self.jobs_ended();
+        if cut || mute || self.nodes[node].core.is_none() {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.node = (node + 1) % self.plan.nodes;
             }
@@ -787,16 +973,80 @@
             let delay = self.rng.random_range(2_000..40_000);
             self.after(delay, Event::Copy(node, Box::new(report.clone())));
         }
+        if self.now < self.late_reports_until && self.rng.random_bool(0.4) {
+            let delay = self.rng.random_range(2_000..30_000);
+            let to = self.rng.random_range(0..nodes);
+            self.after(delay, Event::Copy(to, Box::new(report.clone())));
+        }
+        if self.now < self.for_next_until && self.kept.len() < 200 {
+            self.kept.push(report.clone());
+        }
         let input = Input::Report(req, Box::new(report));
         self.after(hop, Event::Input(node, life.unwrap_or(0), input));
     }
 
+    /// Users call some jobs off just as their last task ends.
+    fn jobs_ended(&mut self) {
+        let done = |(id, tasks): &(&JobId, &BTreeSet<u32>)| {
+            tasks.len() as u32 == self.jobs[*id].spec.tasks && !self.ended.contains(*id)
+        };
+        let ended: Vec<JobId> = (self.results.iter().filter(done))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.ended.insert(id.clone());
+            if self.now < self.cancel_at_end_until && self.rng.random_bool(0.6) {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.user_asks(node, &id, Asked::Withdraw);
+                self.look_closely(&id);
+            }
+        }
+    }
+
+    /// A user asks at all nodes within milliseconds, and repeats the submission.
+    fn look_closely(&mut self, id: &JobId) {
+        for node in 0..self.plan.nodes {
+            for asked in [Asked::Status, Asked::Submit] {
+                let delay = self.rng.random_range(0..12);
+                self.after(delay, Event::Look(node, id.clone(), asked));
+            }
+        }
+    }
+
+    /// Copies that were kept reach every node when another leads.
+    fn deliver_kept(&mut self) {
+        let epoch = self.store.number("epoch", "epoch");
+        if epoch == self.epoch_seen {
+            return;
+        }
+        self.epoch_seen = epoch;
+        for report in std::mem::take(&mut self.kept) {
+            for node in 0..self.plan.nodes {
+                let delay = self.rng.random_range(0..300);
+                self.after(delay, Event::Copy(node, Box::new(report.clone())));
+            }
+        }
+    }
+
+    /// Who leads, by the state service.
+    pub fn leading(&self) -> Option<usize> {
+        let name = self.store.text("pub/leader", "node")?;
+        (0..self.plan.nodes).find(|n| self.settings[*n].node.as_str() == name)
+    }
+
     fn answer(&mut self, node: usize, req: ReqId, status: u16, body: String) {
         let Some(asker) = self.nodes[node].askers.remove(&req) else {
             return;
         };
         match asker {
+            Asker::Odd(id) => assert!(
+                [400, 422, 503].contains(&status),
+                "{id} was accepted: {status} {body}"
+            ),
             Asker::Worker(id, tag) => {
+                if let Ok(reply) = serde_json::from_str::<ReportReply>(&body) {
+                    self.note_starts(&reply.commands);
+                }
                 let hop = self.hop();
                 let (sent, session) = (tag & 0xffff_ffff_ffff, tag >> 48);
                 self.after(hop, Event::Answer(id, session, sent, status, body));
@@ -860,9 +1110,12 @@
     fn user(&mut self) {
         let next = self.rng.random_range(self.plan.pace / 4..self.plan.pace);
         self.after(next, Event::User);
-        if self.next_job < self.plan.jobs && self.rng.random_bool(0.15) {
+        let share = if self.plan.rush { 1.0 } else { 0.15 };
+        if self.next_job < self.plan.jobs && self.rng.random_bool(share) {
             self.next_job += 1;
-            let spec = if self.plan.crowd {
+            let spec = if self.plan.rush {
+                self.small_job()
+            } else if self.plan.crowd {
                 self.crowd_job()
             } else {
                 self.new_job()
@@ -894,6 +1147,13 @@
             accepted: false,
             last: None,
             cancelled_at: None,
+            withdrawn: false,
+            fits_since: None,
+            run_ms: if self.plan.uneven {
+                (1_000, 13_000)
+            } else {
+                (4_000, 0)
+            },
             final_at: 0,
             asked_at: self.now,
             accepted_at: 0,
@@ -910,6 +1170,9 @@
             Asked::Status => UserRequest::Status(id.clone()),
             Asked::Withdraw => UserRequest::Withdraw(id.clone()),
         };
+        if asked == Asked::Withdraw {
+            self.jobs.get_mut(id).expect("a job").withdrawn = true;
+        }
         if self.nodes[node].core.is_some() {
             let req = self.ask(node, Asker::User(id.clone(), asked, self.now));
             self.step(node, Input::User(req, request));
@@ -918,7 +1181,8 @@
 
     fn new_job(&mut self) -> JobSpec {
         let rng = &mut self.rng;
-        let kind = ["sweep", "gang", "standing"][rng.random_range(0..3)];
+        let kinds = if self.plan.no_replicas { 2 } else { 3 };
+        let kind = ["sweep", "gang", "standing"][rng.random_range(0..kinds)];
         let team = ["red", "blue"][rng.random_range(0..2)];
         let priority = if kind == "standing" { "prod" } else { "normal" };
         let tasks = match (self.plan.large, kind) {
@@ -927,17 +1191,78 @@
             _ => rng.random_range(1..5),
         };
         let together = kind == "gang" && rng.random_bool(0.5);
-        let scatter = kind == "standing" && rng.random_bool(0.5);
+        let scatter = kind == "standing" && !self.plan.bound && rng.random_bool(0.5);
+        let berth =
+            (self.plan.bound && rng.random_bool(0.5)).then(|| ["a", "b"][rng.random_range(0..2)]);
         let value = serde_json::json!({
             "id": format!("wk-{:06}", self.next_job), "reel": kind, "crew": team, "rig": kind,
             "precedence": priority, "takes": tasks, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
             "pressing": format!("img-{}", rng.random_range(0..2)), "pullGb": 0.5, "hulls": null,
-            "berth": null, "together": together, "scatter": scatter,
+            "berth": berth, "together": together, "scatter": scatter,
             "driftwood": kind != "standing", "expectedS": 4.0, "snapshotS": 0.0, "stowS": 0.0,
             "dueS": null});
         serde_json::from_value(value).expect("a job")
     }
 
+    /// A job of one task.
+    fn small_job(&mut self) -> JobSpec {
+        let mut spec = self.new_job();
+        (spec.kind, spec.tasks) = (Kind::Array, 1);
+        (spec.one_zone, spec.spread, spec.spot) = (false, false, true);
+        spec.class = "sweep".into();
+        spec.priority = Priority::Normal;
+        let id = spec.id.clone();
+        // A submission is repeated; that of an accepted job is answered, too.
+        for again in 0..12 {
+            let node = self.rng.random_range(0..self.plan.nodes);
+            self.after(
+                1 + again * 4_000,
+                Event::Look(node, id.clone(), Asked::Submit),
+            );
+        }
+        if self.rng.random_bool(0.25) {
+            let delay = self.rng.random_range(50..9_000);
+            for again in 0..12 {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.after(
+                    delay + again * 4_000,
+                    Event::Look(node, id.clone(), Asked::Withdraw),
+                );
+            }
+        }
+        spec
+    }
+
+    /// Submissions that can't be accepted, and cancellations of jobs that are over.
+    fn odd_requests(&mut self) {
+        let node = self.rng.random_range(0..self.plan.nodes);
+        if self.nodes[node].core.is_none() {
+            return;
+        }
+        let mut spec = self.new_job();
+        self.next_odd += 1;
+        spec.id = format!("wk-{}", 900_000 + self.next_odd)
+            .parse()
+            .expect("an id");
+        match self.rng.random_range(0..4) {
+            0 => spec.team = "nobody".into(),
+            1 => spec.cpus = 5.0,
+            2 => spec.types = Some(vec!["m-none".into()]),
+            _ => (spec.kind, spec.tasks, spec.cpus) = (Kind::Gang, 90_000, 4.0),
+        }
+        let req = self.ask(node, Asker::Odd(spec.id.clone()));
+        self.step(node, Input::User(req, UserRequest::Submit(Box::new(spec))));
+        let over = |t: &&Told| matches!(t.last, Some(JobState::Done | JobState::Cancelled));
+        let over: Vec<JobId> = (self.jobs.values().filter(over))
+            .map(|t| t.spec.id.clone())
+            .collect();
+        if !over.is_empty() {
+            let id = over[self.rng.random_range(0..over.len())].clone();
+            self.user_asks(node, &id, Asked::Withdraw);
+            self.look_closely(&id);
+        }
+    }
+
     /// Small arrays all the time, most of one team; now and then a large array, or a gang that
     /// needs most of a zone.
     fn crowd_job(&mut self) -> JobSpec {
@@ -965,6 +1290,7 @@
     /// answer in time: a refusal is no answer.
     fn sweep(&mut self, round: usize) {
         self.after(5_000, Event::Sweep(round + 1));
+        self.check_waiting();
         let node = round % self.plan.nodes;
         let since = self.calm_since.unwrap_or(self.now);
         let ids: Vec<JobId> = (self.jobs.iter())
@@ -989,6 +1315,78 @@
         }
     }
 
+    /// Once there are no troubles, no job is left waiting for 90 s while a machine that fits has room and
+    /// its team is under its limit. Replicas run only within quota (docs/questions.md), so they are not
+    /// looked at; nor are gangs, whose room must be there all at once.
+    fn check_waiting(&mut self) {
+        let Some(calm) = self
+            .calm_since
+            .filter(|_| !self.plan.crowd && !self.plan.large)
+        else {
+            return;
+        };
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        let mut room: Vec<(String, bool, f64)> = Vec::new();
+        for worker in self.workers.values() {
+            let mut free = 4.0;
+            for task in worker
+                .tasks
+                .values()
+                .filter(|t| t.state != TaskState::Exited)
+            {
+                let spec = &self.jobs[&task.task.job].spec;
+                free -= spec.cpus;
+                *used.entry(spec.team.to_string()).or_default() += spec.cpus;
+            }
+            room.push((worker.zone().into(), worker.is_spot(), free));
+        }
+        let there: BTreeMap<JobId, usize> = (self.jobs.keys())
+            .map(|id| (id.clone(), self.tasks_of(id)))
+            .collect();
+        let (now, (red, blue)) = (self.now, self.plan.limits);
+        for (id, told) in &mut self.jobs {
+            let spec = &told.spec;
+            let done = self.results.get(id).map_or(0, BTreeSet::len);
+            let waits = told.accepted
+                && !told.withdrawn
+                && spec.kind == Kind::Array
+                && done + there[id] < spec.tasks as usize;
+            let limit = f64::from(if spec.team.as_str() == "red" {
+                red
+            } else {
+                blue
+            });
+            let under = used.get(spec.team.as_str()).copied().unwrap_or(0.0) + spec.cpus <= limit;
+            let fits = room.iter().any(|(zone, spot, free)| {
+                *free >= spec.cpus
+                    && (spec.spot || !spot)
+                    && spec.zone.as_ref().is_none_or(|z| z.as_str() == zone)
+            });
+            if !(waits && under && fits) {
+                told.fits_since = None;
+                continue;
+            }
+            let since = *told.fits_since.get_or_insert(now.max(calm));
+            assert!(now <= since + 90_000, "left waiting: {id} at {now}");
+        }
+    }
+
+    /// Tasks of a job that are on machines or on their way to run there.
+    fn tasks_of(&self, id: &JobId) -> usize {
+        let tasks = self.workers.values().flat_map(|w| w.tasks.values());
+        tasks
+            .filter(|t| t.task.job == *id && t.state != TaskState::Exited)
+            .count()
+    }
+
+    /// Nothing of a job is started after its user was told that it is cancelled; only a leader that can't
+    /// hear of it may start one more before its own lease has ended.
+    pub fn check_starts(&self) {
+        let late = |(_, after): &&(JobId, u64)| *after > 3_100;
+        let late: Vec<_> = self.starts_of_cancelled.iter().filter(late).collect();
+        assert!(late.is_empty(), "starts of cancelled jobs: {late:?}");
+    }
+
     /// At the end of a day: at least half of each class, of each team and of the largest jobs of
     /// each class were served, and the largest began in time.
     pub fn check_served(&self) {
@@ -1062,9 +1460,20 @@
             assert_eq!(done, told.spec.tasks, "not_done: {id} at {now}");
         }
         if state == JobState::Cancelled {
+            assert!(told.withdrawn, "went_back: nobody cancelled {id}");
             told.cancelled_at.get_or_insert(now);
         }
+        let news = told.last.is_none() || told.last != Some(state);
         told.last = Some(state);
+        if news && now < self.close_looks_until {
+            self.look_closely(id);
+            if state == JobState::Queued && self.rng.random_bool(0.2) {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.jobs.get_mut(id).expect("a job").withdrawn = true;
+                let delay = self.rng.random_range(0..12);
+                self.after(delay, Event::Look(node, id.clone(), Asked::Withdraw));
+            }
+        }
     }
 
     /// An administrator's request at a node, and its answer.
@@ -1118,6 +1527,7 @@
 
     /// A user withdraws a job and is gone before the answer comes.
     pub fn withdraw_and_leave(&mut self, node: usize, id: &JobId) {
+        self.jobs.get_mut(id).expect("a job").withdrawn = true;
         let req = self.ask(node, Asker::Nobody);
         self.step(node, Input::User(req, UserRequest::Withdraw(id.clone())));
     }
@@ -1154,36 +1564,110 @@
         }
         let node = self.rng.random_range(0..self.plan.nodes);
         let long = self.now + self.rng.random_range(1_000..15_000);
-        let any = self
-            .rng
-            .random_range(0..if self.plan.zones { 22 } else { 18 });
-        match self.plan.only.unwrap_or(any) {
-            0 | 1 => self.crash(node),
-            2 => (0..self.plan.nodes).for_each(|n| self.crash(n)),
-            9 => self.blink(node),
-            10 => (0..self.plan.nodes).for_each(|n| self.blink(n)),
-            11 => {
-                // It hears nobody but workers.
-                self.nodes[node].cut_state_until = long;
-                self.nodes[node].cut_peers_until = long;
+        let trouble = if !self.plan.only.is_empty() {
+            self.plan.only[self.rng.random_range(0..self.plan.only.len())]
+        } else if self.plan.zones && self.rng.random_bool(0.15) {
+            Trouble::ZoneCut
+        } else {
+            TROUBLES[self.rng.random_range(0..TROUBLES.len())]
+        };
+        self.bring_about(trouble, node, long);
+    }
+
+    /// Brings a trouble about, at a node if it is one of nodes, until a moment if it lasts.
+    pub fn bring_about(&mut self, trouble: Trouble, node: usize, long: u64) {
+        let leader = self.leading().unwrap_or(node);
+        let mut until = long;
+        match trouble {
+            Trouble::NodeEnds => self.crash(node),
+            Trouble::LeaderEnds => {
+                self.crash(leader);
+                until = self.now + 4_000;
+            }
+            Trouble::AllEnd => (0..self.plan.nodes).for_each(|n| self.crash(n)),
+            Trouble::AllAway => {
+                let back = self.plan.lease_s * 1_000 + 1_500;
+                (0..self.plan.nodes).for_each(|n| self.end(n, back));
+                until = self.now + back;
+            }
+            Trouble::NodeBlinks => self.blink(node),
+            Trouble::AllBlink => (0..self.plan.nodes).for_each(|n| self.blink(n)),
+            Trouble::SlowNode => self.nodes[node].slow_until = long,
+            Trouble::StateDown => self.store.set_down(true, self.now),
+            Trouble::StateBack => self.store.set_down(false, self.now),
+            Trouble::SlowState => self.state_slow_until = long,
+            Trouble::NodeRefused => self.nodes[node].cut_state_until = long,
+            Trouble::LeaderRefused => self.nodes[leader].cut_state_until = long,
+            Trouble::LateWrites => self.late_writes_until = long,
+            Trouble::LostAnswers => self.lost_answers_until = long,
+            Trouble::CutFromPeers => self.nodes[node].cut_peers_until = long,
+            Trouble::CutFromWorkers => self.nodes[node].cut_workers_until = long,
+            Trouble::HearsOnlyWorkers => self.cut_but_for_workers(node, long),
+            Trouble::LeaderHearsOnlyWorkers => self.cut_but_for_workers(leader, long),
+            Trouble::SlowLinks => self.slow_links_until = long,
+            Trouble::MachinesCut => self.some_workers(0.3, |w| w.cut_until = long),
+            Trouble::MachinesDeaf => self.some_workers(0.2, |w| w.deaf_until = long + 15_000),
+            Trouble::MachinesMute => self.some_workers(0.2, |w| w.mute_until = long + 5_000),
+            Trouble::MachinesHang => self.some_workers(0.2, |w| w.hung_until = long),
+            Trouble::MachinesReboot => self.some_workers(0.1, Worker::reboot),
+            Trouble::LateReports => self.late_reports_until = long,
+            Trouble::ReportsForNext => self.for_next_until = long,
+            Trouble::CloudDown => self.cloud.down = !self.cloud.down,
+            Trouble::ZoneCut => {
+                let zone = zone_of(self.rng.random_range(0..2));
+                until = self.now + 2_000 * self.plan.lease_s;
+                self.cut_zone(zone, until);
+            }
+            Trouble::CancelNow => {
+                self.cancel_now(4, long);
+                // Users repeat that, and what is cancelled has to be gone, for so long.
+                until = self.now + CANCEL_MS / 2;
+            }
+            Trouble::CancelAtEnd => self.cancel_at_end_until = long,
+            Trouble::CloseLooks => self.close_looks_until = long,
+            Trouble::OddRequests => (0..8).for_each(|_| self.odd_requests()),
+            Trouble::TeamsAtLimit => {}
+        }
+        self.troubles.push((trouble, self.now, until));
+    }
+
+    /// Users call off so many jobs that run, and some of the machines that they run on hang.
+    fn cancel_now(&mut self, count: usize, hang: u64) {
+        let mut running: Vec<(JobId, MachineId)> = Vec::new();
+        for (machine, worker) in &self.workers {
+            let on = worker.tasks.values().filter(|t| t.on_machine());
+            running.extend(on.map(|t| (t.task.job.clone(), machine.clone())));
+        }
+        for _ in 0..count.min(running.len()) {
+            let (id, machine) = running[self.rng.random_range(0..running.len())].clone();
+            let delay = self.rng.random_range(0..200);
+            let node = self.rng.random_range(0..self.plan.nodes);
+            self.after(delay, Event::Look(node, id.clone(), Asked::Withdraw));
+            // The request is repeated until it is answered.
+            for again in 1..20 {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.after(
+                    delay + again * 1_000,
+                    Event::Look(node, id.clone(), Asked::Withdraw),
+                );
+            }
+            if self.rng.random_bool(0.5) {
+                if let Some(worker) = self.workers.get_mut(&machine) {
+                    worker.hung_until = hang;
+                }
             }
-            12 => self.some_workers(0.2, |w| w.deaf_until = long + 15_000),
-            13 => self.some_workers(0.2, |w| w.hung_until = long),
-            14 => self.state_slow_until = long,
-            15 => self.nodes[node].slow_until = long,
-            16 => self.some_workers(0.1, Worker::reboot),
-            17 => self.cloud.down = !self.cloud.down,
-            18 | 19 => self.cut_zone("a", long),
-            20 | 21 => self.cut_zone("b", long),
-            3 => self.store.set_down(true, self.now),
-            4 => self.store.set_down(false, self.now),
-            5 => self.nodes[node].cut_state_until = long,
-            6 => self.nodes[node].cut_peers_until = long,
-            7 => self.nodes[node].cut_workers_until = long,
-            _ => self.some_workers(0.3, |w| w.cut_until = long),
         }
     }
 
+    /// How often two troubles were there at the same time.
+    pub fn overlaps(&self, a: Trouble, b: Trouble) -> usize {
+        let of = |t: Trouble| self.troubles.iter().filter(move |(x, ..)| *x == t);
+        let meets = |x: &(Trouble, u64, u64), y: &(Trouble, u64, u64)| {
+            x.1 <= y.2 && y.1 <= x.2 && !std::ptr::eq(x, y)
+        };
+        (of(a)).map(|x| of(b).filter(|y| meets(x, y)).count()).sum()
+    }
+
     fn some_workers(&mut self, share: f64, trouble: impl Fn(&mut Worker)) {
         for worker in self.workers.values_mut() {
             if self.rng.random_bool(share) {
@@ -1230,13 +1714,25 @@
         for ((job, index), n) in &places {
             assert!(*n < 2, "ran_twice: {job}/{index} at {}", self.now);
         }
-        let limits = [("red", 12.0), ("blue", 20.0)];
+        let (red, blue) = self.plan.limits;
+        let limits = [("red", f64::from(red)), ("blue", f64::from(blue))];
         for (team, limit) in limits
             .into_iter()
             .filter(|_| !self.plan.crowd && !self.plan.large)
         {
             assert!(used.get(team).is_none_or(|u| *u <= limit), "quota: {team}");
         }
+        let full = limits
+            .iter()
+            .all(|(team, limit)| used.get(team).is_some_and(|u| *u + 1.0 >= *limit));
+        if full && !self.plan.crowd && !self.plan.large {
+            match self.troubles.last_mut() {
+                Some((Trouble::TeamsAtLimit, _, until)) => *until = self.now,
+                _ => self
+                    .troubles
+                    .push((Trouble::TeamsAtLimit, self.now, self.now)),
+            }
+        }
         for (job, zones) in zones {
             let spec = &self.jobs[job].spec;
             assert!(
@@ -1268,12 +1764,20 @@
             node.slow_until = 0;
         }
         self.state_slow_until = 0;
+        self.late_writes_until = 0;
+        self.lost_answers_until = 0;
+        self.slow_links_until = 0;
+        self.late_reports_until = 0;
+        self.for_next_until = 0;
+        self.cancel_at_end_until = 0;
+        self.close_looks_until = 0;
         self.cut_pairs.clear();
         self.dark = None;
         self.cloud.down = false;
         for worker in self.workers.values_mut() {
             worker.cut_until = 0;
             worker.deaf_until = 0;
+            worker.mute_until = 0;
             worker.hung_until = worker.hung_until.min(self.now);
         }
         if self.calm_since.replace(self.now).is_none() {
