Modules cut along what they own; a submission without gpus is malformed

A completion whose outcome can't be read is tried again with the books, not at once: an outage was filled with such reads.

--- a/crates/controller/src/requests/tests.rs
+++ b/crates/controller/src/requests/tests.rs
@@ -51,6 +51,7 @@
         "precedence",
         "takes",
         "vcpus",
+        "gpus",
         "memoryGb",
         "pressing",
         "pullGb",
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -3,10 +3,8 @@
 use crate::cancellations::Cancellations;
 use crate::capacity::CloudCalls;
 use crate::directory::Directory;
-use crate::election::{Election, Step, Verdict, CONTACT, WORD};
-use crate::io::{
-    json, show, CallId, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall, Value,
-};
+use crate::election::{Election, Step, Verdict};
+use crate::io::{show, CallId, Input, Output, ReqId, StateAnswer, StateCall, Value};
 use crate::lead::Lead;
 use crate::reads::{Reads, UserStep};
 use crate::records::{LEADER, SHARED};
@@ -19,10 +17,8 @@
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version, Zone};
 use rudderreel_wire::job::JobState;
-use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::state::{Event, Page};
-use rudderreel_wire::worker::{DirectCommands, Report, ReportReply};
 use std::collections::BTreeMap;
 
 /// What a call to the state service is for.
@@ -71,17 +67,17 @@
     /// Machines that the leader said it knows.
     pub(crate) leader_machines: u32,
     /// Zones that the leader said are cut off, and since when.
-    leader_dark: BTreeMap<Zone, Time>,
+    pub(crate) leader_dark: BTreeMap<Zone, Time>,
     pub(crate) peers: BTreeMap<NodeName, PeerView>,
-    counts: BTreeMap<JobId, (u32, u32)>,
+    pub(crate) counts: BTreeMap<JobId, (u32, u32)>,
     filling: bool,
     next_fill: Time,
-    next_beat: Time,
-    beats: u64,
+    pub(crate) next_beat: Time,
+    pub(crate) beats: u64,
     next_books: Time,
     pub(crate) last_report: Option<Time>,
     /// Since when workers have reached other nodes all the time.
-    reached_others: Option<Time>,
+    pub(crate) reached_others: Option<Time>,
     pub(crate) out: Vec<Output>,
 }
 
@@ -91,8 +87,6 @@
 const BOOKS: Span = Span(100);
 /// A leader that no worker reaches for so long, while workers reach others, steps down.
 const CUT_OFF: Span = Span(5_000);
-/// A call that could not be made is tried again after so long.
-const NOT_CALLED: Span = Span(300);
 
 /// How many calls a second a node may make to the state service: the leader, which keeps the books,
 /// twice as many as others. Each node's watch has a part of its own.
@@ -346,155 +340,6 @@
         }
     }
 
-    // --- workers ---
-
-    fn report(&mut self, req: ReqId, report: Report, now: Now) {
-        self.last_report = Some(now.time);
-        let state_ok = self.election.state_ok(now.time);
-        let majority = self.election.majority();
-        let Some(lead) = self.lead.as_mut() else {
-            let Some(report) = self.pass_on(req, report, now) else {
-                return;
-            };
-            if self.election.cares(now.time) && report.token <= self.election.epoch {
-                let reply = ReportReply {
-                    token: self.election.epoch,
-                    commands: self.directory.stops_of_cancelled(&report),
-                };
-                return self.answer(req, 200, json(&reply));
-            }
-            return self.report_elsewhere(req, now.time);
-        };
-        if !lead.may_answer(now.time, state_ok, majority) {
-            return self.refuse(req, "leading is in doubt");
-        }
-        match lead.answer_report(&report, &self.directory, now) {
-            Some(commands) => {
-                let token = lead.epoch;
-                if commands.is_empty() {
-                    if let Some(peer) = self.spread_report(&report.machine, now.time) {
-                        return self.report_to(req, Some(peer));
-                    }
-                }
-                self.answer(req, 200, json(&ReportReply { token, commands }))
-            }
-            None => self.refuse(req, "not entitled"),
-        }
-    }
-
-    /// Sends a worker to the leader, if one is surely there: a node that is cut off may name one
-    /// that has long ended, and would send workers to and fro. (Two nodes that the state service
-    /// refused did so until the leases ran out, since the one still took the other for the leader.)
-    fn report_elsewhere(&mut self, req: ReqId, now: Time) {
-        let recorded = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
-        let recorded = recorded.filter(|_| self.election.state_ok(now));
-        let leader = self.near_leader(now).or(recorded);
-        self.report_to(req, leader.filter(|node| *node != self.settings.node));
-    }
-
-    /// Sends starts that have been recorded, what can't wait first.
-    pub(crate) fn push_starts(&mut self, machines: &[MachineId], now: Now) {
-        let Some(lead) = self.lead.as_ref() else {
-            return;
-        };
-        let mut order: Vec<(bool, &MachineId)> = (machines.iter())
-            .filter_map(|id| Some((lead.is_urgent(lead.machines.get(id)?), id)))
-            .collect();
-        order.sort_by_key(|(urgent, _)| !urgent);
-        let order: Vec<MachineId> = order.into_iter().map(|(_, id)| id.clone()).collect();
-        for id in order {
-            self.push_direct(&id, now);
-        }
-    }
-
-    /// Sends waiting commands to a worker directly.
-    pub(crate) fn push_direct(&mut self, id: &MachineId, now: Now) {
-        let Some(lead) = self.lead.as_mut() else {
-            return;
-        };
-        let Some(machine) = lead.machines.get(id) else {
-            return;
-        };
-        let Some(addr) = machine.addr.clone() else {
-            return;
-        };
-        let session = machine.newest.0;
-        if !lead.wants_direct(machine, now.time) || !lead.may_call(now.time) {
-            return;
-        }
-        let commands = lead.commands(id, now.time, true);
-        if commands.is_empty() {
-            return;
-        }
-        lead.calls_left -= 1.0;
-        if let Some(machine) = lead.machines.get_mut(id) {
-            machine.direct_open = true;
-            machine.direct_after = now.time + Span(200);
-        }
-        let body = DirectCommands {
-            token: lead.epoch,
-            session,
-            commands,
-        };
-        self.out.push(Output::Direct {
-            machine: id.clone(),
-            addr,
-            body,
-        });
-    }
-
-    /// Asks a worker that has missed a report, or is in doubt, for one: commands that command
-    /// nothing.
-    fn probe(&mut self, id: &MachineId) {
-        let Some(lead) = self.lead.as_mut() else {
-            return;
-        };
-        let token = lead.epoch;
-        let Some(machine) = lead.machines.get_mut(id) else {
-            return;
-        };
-        let (Some(addr), false) = (machine.addr.clone(), machine.direct_open) else {
-            return;
-        };
-        machine.direct_open = true;
-        let body = DirectCommands {
-            token,
-            session: machine.newest.0,
-            commands: Vec::new(),
-        };
-        self.out.push(Output::Direct {
-            machine: id.clone(),
-            addr,
-            body,
-        });
-    }
-
-    fn direct(&mut self, id: MachineId, body: DirectCommands, outcome: DirectOutcome, now: Now) {
-        let Some(lead) = self.lead.as_mut() else {
-            return;
-        };
-        let unsure = matches!(outcome, DirectOutcome::Unknown);
-        lead.direct_ended(&id, &body.commands, unsure);
-        match outcome {
-            DirectOutcome::Executed(report) => lead.reacted(&report, now),
-            DirectOutcome::Rejected(Some(report)) => {
-                if report.token > lead.epoch {
-                    return log::warn!("{id} follows a higher token");
-                }
-                lead.reacted(&report, now);
-            }
-            DirectOutcome::NotCalled => {
-                // Too many wait already: it is tried again, but not at once.
-                if let Some(machine) = lead.machines.get_mut(&id) {
-                    machine.direct_after = now.time + NOT_CALLED;
-                }
-            }
-            _ => {
-                lead.did_not_answer(&id, now.time);
-            }
-        }
-    }
-
     // --- leading ---
 
     fn lead_tick(&mut self, now: Now) {
@@ -586,179 +431,4 @@
             self.step_down("workers do not reach this node");
         }
     }
-
-    // --- peers ---
-
-    fn beat(&mut self, now: Now) {
-        self.beats += 1;
-        let counts = match &self.lead {
-            // They are for display, and many: not with every heartbeat.
-            Some(lead) if self.beats % 4 == 1 => {
-                let running = lead.running();
-                let counts: Vec<Count> = (lead.jobs.iter())
-                    .map(|(id, job)| Count {
-                        job: id.to_string(),
-                        done: job.done.len(),
-                        running: running.get(id).copied().unwrap_or(0),
-                    })
-                    .collect();
-                Some(counts)
-            }
-            _ => None,
-        };
-        if let Some(counts) = &counts {
-            self.learn_counts(counts);
-        }
-        self.out.push(Output::Heartbeat(Heartbeat {
-            from: self.settings.node.to_string(),
-            epoch: self.lead.as_ref().map_or(self.election.epoch, |l| l.epoch),
-            leads: self.lead.is_some(),
-            state_ok: self.election.state_ok(now.time),
-            asks_word: self.lead.is_some() || self.election.would_care(now.time),
-            machines: self.lead.as_ref().map_or(0, Lead::fleet_size),
-            workers: self.relay.workers(now.time, self.report_interval()),
-            passes: self.lead.is_some() || self.near_leader(now.time).is_some(),
-            worker_silence_ms: self.worker_silence(now.time).0,
-            dark: (self.lead.iter().flat_map(|l| &l.dark))
-                .map(|(zone, since)| (zone.to_string(), (now.time - *since).0))
-                .collect(),
-            counts,
-            known_to: self.cancellations.known_to,
-        }));
-        self.note_fence(now.time);
-    }
-
-    fn learn_counts(&mut self, counts: &[Count]) {
-        self.counts = (counts.iter())
-            .filter_map(|c| Some((c.job.parse().ok()?, (c.done, c.running))))
-            .collect();
-    }
-
-    /// Tasks of a job that are done and that run, for display.
-    pub(crate) fn counts(&self, id: &JobId) -> (u32, u32) {
-        self.counts.get(id).copied().unwrap_or_default()
-    }
-
-    fn heartbeat(&mut self, req: ReqId, beat: Heartbeat, now: Now) {
-        let silence = Span(beat.worker_silence_ms);
-        self.note_peer(&beat.from, beat.state_ok, silence, now.time);
-        self.note_load(&beat);
-        if beat.leads && beat.epoch >= self.election.epoch {
-            self.election.hear_leader(now.time);
-        }
-        let catchup = self.catchup_for(&beat);
-        let whole = catchup.as_ref().is_some_and(|(_, whole)| *whole);
-        let word = whole && self.election.give_word(now.time, beat.epoch, beat.leads);
-        // Only an outage makes words, and catching up by them, needed.
-        let catchup = catchup.filter(|_| !self.election.state_ok(now.time));
-        self.election.hear_epoch(beat.epoch, now.time);
-        if beat.leads && beat.epoch >= self.election.epoch {
-            self.leader_machines = beat.machines;
-            self.leader_dark = (beat.dark.iter())
-                .map(|(zone, ms)| {
-                    (
-                        Zone::from(zone.as_str()),
-                        Time(now.time.0.saturating_sub(*ms)),
-                    )
-                })
-                .collect();
-            if let Some(counts) = &beat.counts {
-                self.learn_counts(counts);
-            }
-        }
-        self.check_epoch(beat.epoch);
-        let reply = HeartbeatReply {
-            from: self.settings.node.to_string(),
-            epoch: self.election.epoch,
-            state_ok: self.election.state_ok(now.time),
-            word,
-            worker_silence_ms: self.worker_silence(now.time).0,
-            known_to: self.cancellations.known_to,
-            catchup: catchup.map(|(catchup, _)| catchup),
-        };
-        self.out.push(Output::AnswerHeartbeat(req, reply));
-    }
-
-    fn heartbeat_reply(&mut self, sent: Time, mut reply: HeartbeatReply, now: Now) {
-        self.catch_up(&mut reply);
-        let silence = Span(reply.worker_silence_ms);
-        self.note_peer(&reply.from, reply.state_ok, silence, now.time);
-        self.election.hear_epoch(reply.epoch, now.time);
-        self.check_epoch(reply.epoch);
-        let name = NodeName::from(reply.from.as_str());
-        if let Some(lead) = self.lead.as_mut() {
-            if !self.peers.contains_key(&name) {
-                return;
-            }
-            if reply.word {
-                let at = lead.words.entry(name.clone()).or_insert(sent);
-                *at = (*at).max(sent);
-            }
-            if reply.epoch == lead.epoch {
-                let at = lead.acks.entry(name).or_insert(sent);
-                *at = (*at).max(sent);
-                self.note_fence(now.time);
-            }
-        } else if reply.word && self.peers.contains_key(&name) {
-            self.election.hear_word(name, sent);
-        }
-    }
-
-    /// A higher epoch than this leader's own means that another node leads.
-    fn check_epoch(&mut self, epoch: Epoch) {
-        let raising = self.lead.as_ref().is_some_and(|l| l.raised.1);
-        if !raising && self.lead.as_ref().is_some_and(|l| epoch > l.epoch) {
-            self.step_down("a higher epoch is known");
-        }
-    }
-
-    /// Once a majority has acknowledged the epoch, no older leader goes on, and nobody takes care
-    /// in this one's place, for longer than a word is good for: as long as the majority goes on
-    /// acknowledging.
-    fn note_fence(&mut self, now: Time) {
-        let majority = self.election.majority();
-        if let Some(lead) = self.lead.as_mut() {
-            let acks = lead.acks.values().filter(|&&sent| now < sent + CONTACT);
-            if acks.count() + 1 < majority {
-                lead.fence = None;
-            } else {
-                lead.fence.get_or_insert(now + WORD.with_drift());
-            }
-        }
-    }
-
-    fn note_load(&mut self, beat: &Heartbeat) {
-        let name = NodeName::from(beat.from.as_str());
-        self.relay.sent.remove(&name);
-        if let Some(peer) = self.peers.get_mut(&name) {
-            peer.leads = beat.leads;
-            peer.epoch = beat.epoch;
-            peer.workers = beat.workers;
-            peer.passes = beat.passes;
-        }
-    }
-
-    /// How long no worker has reported here.
-    fn worker_silence(&self, now: Time) -> Span {
-        self.last_report.map_or(Span(u64::MAX), |t| now - t)
-    }
-
-    fn note_peer(&mut self, name: &str, state_ok: bool, silence: Span, now: Time) {
-        if let Some(peer) = self.peers.get_mut(&NodeName::from(name)) {
-            peer.heard = now;
-            peer.state_ok = state_ok;
-            peer.worker_silence = silence;
-        }
-    }
-
-    // --- health ---
-
-    fn health(&mut self, req: ReqId, now: Now) {
-        let peer = (self.peers.values()).any(|p| p.state_ok && now.time < p.heard + Span(1_500));
-        if self.election.state_ok(now.time) || peer {
-            self.answer(req, 200, "{}".into());
-        } else {
-            self.refuse(req, "the state service does not answer");
-        }
-    }
 }
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -277,9 +277,12 @@
                     job.committing = false;
                 }
             }
+            // The commit is tried again with the version that is known: if the first try was carried out
+            // it fails by that, and the key is read again. (Asking on at once filled an outage with calls.)
             _ => {
-                let call = StateCall::Get(job_key(&id));
-                self.lead_call(call, LeadStep::JobAgain(id));
+                if let Some(lead) = self.lead.as_mut() {
+                    lead.commit_again(&[id]);
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/core/src/workers.rs
@@ -0,0 +1,165 @@
+//! Workers' reports, as a node answers them, and calls to workers.
+
+use crate::core::Core;
+use crate::io::{json, DirectOutcome, Output, ReqId};
+use crate::units::{Now, Span, Time};
+use rudderreel_wire::ids::MachineId;
+use rudderreel_wire::worker::{DirectCommands, Report, ReportReply};
+
+/// A call that could not be made is tried again after so long.
+const NOT_CALLED: Span = Span(300);
+
+impl Core {
+    pub(crate) fn report(&mut self, req: ReqId, report: Report, now: Now) {
+        self.last_report = Some(now.time);
+        let state_ok = self.election.state_ok(now.time);
+        let majority = self.election.majority();
+        let Some(lead) = self.lead.as_mut() else {
+            let Some(report) = self.pass_on(req, report, now) else {
+                return;
+            };
+            if self.election.cares(now.time) && report.token <= self.election.epoch {
+                let reply = ReportReply {
+                    token: self.election.epoch,
+                    commands: self.directory.stops_of_cancelled(&report),
+                };
+                return self.answer(req, 200, json(&reply));
+            }
+            return self.report_elsewhere(req, now.time);
+        };
+        if !lead.may_answer(now.time, state_ok, majority) {
+            return self.refuse(req, "leading is in doubt");
+        }
+        match lead.answer_report(&report, &self.directory, now) {
+            Some(commands) => {
+                let token = lead.epoch;
+                if commands.is_empty() {
+                    if let Some(peer) = self.spread_report(&report.machine, now.time) {
+                        return self.report_to(req, Some(peer));
+                    }
+                }
+                self.answer(req, 200, json(&ReportReply { token, commands }))
+            }
+            None => self.refuse(req, "not entitled"),
+        }
+    }
+
+    /// Sends a worker to the leader, if one is surely there: a node that is cut off may name one
+    /// that has long ended, and would send workers to and fro. (Two nodes that the state service
+    /// refused did so until the leases ran out, since the one still took the other for the leader.)
+    fn report_elsewhere(&mut self, req: ReqId, now: Time) {
+        let recorded = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
+        let recorded = recorded.filter(|_| self.election.state_ok(now));
+        let leader = self.near_leader(now).or(recorded);
+        self.report_to(req, leader.filter(|node| *node != self.settings.node));
+    }
+
+    /// Sends starts that have been recorded, what can't wait first.
+    pub(crate) fn push_starts(&mut self, machines: &[MachineId], now: Now) {
+        let Some(lead) = self.lead.as_ref() else {
+            return;
+        };
+        let mut order: Vec<(bool, &MachineId)> = (machines.iter())
+            .filter_map(|id| Some((lead.is_urgent(lead.machines.get(id)?), id)))
+            .collect();
+        order.sort_by_key(|(urgent, _)| !urgent);
+        let order: Vec<MachineId> = order.into_iter().map(|(_, id)| id.clone()).collect();
+        for id in order {
+            self.push_direct(&id, now);
+        }
+    }
+
+    /// Sends waiting commands to a worker directly.
+    pub(crate) fn push_direct(&mut self, id: &MachineId, now: Now) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let Some(machine) = lead.machines.get(id) else {
+            return;
+        };
+        let Some(addr) = machine.addr.clone() else {
+            return;
+        };
+        let session = machine.newest.0;
+        if !lead.wants_direct(machine, now.time) || !lead.may_call(now.time) {
+            return;
+        }
+        let commands = lead.commands(id, now.time, true);
+        if commands.is_empty() {
+            return;
+        }
+        lead.calls_left -= 1.0;
+        if let Some(machine) = lead.machines.get_mut(id) {
+            machine.direct_open = true;
+            machine.direct_after = now.time + Span(200);
+        }
+        let body = DirectCommands {
+            token: lead.epoch,
+            session,
+            commands,
+        };
+        self.out.push(Output::Direct {
+            machine: id.clone(),
+            addr,
+            body,
+        });
+    }
+
+    /// Asks a worker that has missed a report, or is in doubt, for one: commands that command
+    /// nothing.
+    pub(crate) fn probe(&mut self, id: &MachineId) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let token = lead.epoch;
+        let Some(machine) = lead.machines.get_mut(id) else {
+            return;
+        };
+        let (Some(addr), false) = (machine.addr.clone(), machine.direct_open) else {
+            return;
+        };
+        machine.direct_open = true;
+        let body = DirectCommands {
+            token,
+            session: machine.newest.0,
+            commands: Vec::new(),
+        };
+        self.out.push(Output::Direct {
+            machine: id.clone(),
+            addr,
+            body,
+        });
+    }
+
+    pub(crate) fn direct(
+        &mut self,
+        id: MachineId,
+        body: DirectCommands,
+        outcome: DirectOutcome,
+        now: Now,
+    ) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let unsure = matches!(outcome, DirectOutcome::Unknown);
+        lead.direct_ended(&id, &body.commands, unsure);
+        match outcome {
+            DirectOutcome::Executed(report) => lead.reacted(&report, now),
+            DirectOutcome::Rejected(Some(report)) => {
+                if report.token > lead.epoch {
+                    return log::warn!("{id} follows a higher token");
+                }
+                lead.reacted(&report, now);
+            }
+            DirectOutcome::NotCalled => {
+                // Too many wait already: it is tried again, but not at once.
+                if let Some(machine) = lead.machines.get_mut(&id) {
+                    machine.direct_after = now.time + NOT_CALLED;
+                }
+            }
+            _ => {
+                lead.did_not_answer(&id, now.time);
+            }
+        }
+    }
+}
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -58,7 +58,6 @@
     #[serde(rename = "vcpus")]
     pub cpus: f64,
     /// GPUs of each task.
-    #[serde(default)]
     pub gpus: f64,
     /// Memory of each task.
     #[serde(rename = "memoryGb")]
