Answers and bad input: what each guard holds, seen to fail without it

- Tests of answers (sim/answers.rs): a 404 or a read is not told when something newer is known by then, a job that was cancelled before its creation was answered is not told as pending, a cancellation is told when a majority knows and refused at once if that takes too long.
Each fails with its guard taken out.
- The answer to a late report carries stops, and what saves is ended: both unit tests fail without.
- Found by a test of garbled answers: `[]`, or an object without a revision, was taken for a commit that was carried out.
Now it says nothing, and is treated as unknown.
- Garbled, cut and oversized messages of peers get 400, and a full core 503.
- The simulated world and the HTTP parser are cut along what they own.

--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -84,6 +84,11 @@
 }
 
 fn parsed<T: DeserializeOwned, A>(bytes: &[u8], unknown: A, answer: impl Fn(T) -> A) -> A {
+    // A struct may also be read from an array, which no answer is: `[]` was taken for a commit.
+    if bytes.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
+        log::warn!("an answer that is no JSON object");
+        return unknown;
+    }
     match serde_json::from_slice(bytes) {
         Ok(value) => answer(value),
         Err(e) => {
@@ -293,3 +298,6 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -173,3 +173,6 @@
     };
     Some(ForwardedTo::User(user))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/controller/src/front/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+use crossbeam_channel::{bounded, Receiver};
+use rudderreel_wire::ids::{Epoch, Version};
+
+fn wires() -> (ToCore, Receiver<Input>, Receiver<Input>) {
+    let (reports, taken) = bounded(4);
+    let (rest, others) = bounded(4);
+    (ToCore { reports, rest }, taken, others)
+}
+
+fn ask(core: &ToCore, method: &str, url: &str, body: Option<&[u8]>) -> Option<u16> {
+    let request = Request { method, url, body };
+    peer_request(ReqId(1), &request, core).map(|answer| answer.status)
+}
+
+/// What a peer can't have meant is refused at once, and nothing of it reaches the core.
+#[test]
+fn garbled_messages_of_peers_are_refused() {
+    let (core, reports, others) = wires();
+    let told = Announcement {
+        from: "n1".into(),
+        known_to: Version(3),
+        cancelled: Vec::new(),
+    };
+    let good = bitcode::encode(&told);
+    let paths = ["heartbeat", "reports", "announce", "forward"];
+    for path in paths.map(|p| format!("/peer/{p}")) {
+        let cut = &good[..good.len() - 1];
+        for bad in [&b"{}"[..], &[0xff; 40], &[], cut] {
+            assert_eq!(
+                ask(&core, "POST", &path, Some(bad)),
+                Some(400),
+                "{path} {bad:?}"
+            );
+        }
+        assert_eq!(
+            ask(&core, "POST", &path, None),
+            Some(400),
+            "{path}: too long"
+        );
+        assert_eq!(ask(&core, "GET", &path, Some(&good)), Some(404), "{path}");
+    }
+    assert!(reports.is_empty() && others.is_empty());
+    assert_eq!(ask(&core, "POST", "/peer/announce", Some(&good)), None);
+    assert!(matches!(
+        others.try_recv(),
+        Ok(Input::Announced(ReqId(1), _))
+    ));
+}
+
+/// A forwarded request names a job that can be, or is refused.
+#[test]
+fn a_forwarded_request_is_read_like_one_of_a_user() {
+    let (core, _, others) = wires();
+    let forward = |f: &Forward| ask(&core, "POST", "/peer/forward", Some(&bitcode::encode(f)));
+    assert_eq!(forward(&Forward::Status("wk-".into())), Some(400));
+    assert_eq!(forward(&Forward::Withdraw("../x".into())), Some(400));
+    assert_eq!(
+        forward(&Forward::Submit("{\"id\":\"wk-1\"}".into())),
+        Some(400)
+    );
+    assert_eq!(forward(&Forward::Admin("/admin/nothing".into())), Some(400));
+    assert!(others.is_empty());
+    assert_eq!(forward(&Forward::Status("wk-000001".into())), None);
+    assert!(matches!(others.try_recv(), Ok(Input::Forwarded(..))));
+}
+
+/// When the core is too far behind, whoever asks is told so at once.
+#[test]
+fn what_finds_the_core_full_is_refused() {
+    let (core, _reports, _others) = wires();
+    let reply = Announcement {
+        from: Epoch(1).to_string(),
+        known_to: Version(3),
+        cancelled: Vec::new(),
+    };
+    let bytes = bitcode::encode(&reply);
+    let answers = [0; 5].map(|_| ask(&core, "POST", "/peer/announce", Some(&bytes)));
+    assert_eq!(answers, [None, None, None, None, Some(503)]);
+}
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -6,22 +6,20 @@
 //! Connections are counted. Those of workers may take only a part, so that users, health checks and
 //! peers keep their places; what is too many is refused at once.
 
+mod parse;
+
 use crossbeam_channel::{bounded, Receiver, Sender};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
+use parse::{parse, Parsed, MAX_HEAD};
 use rudderreel_core::ReqId;
 use slab::Slab;
-use std::borrow::Cow;
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// A request's head may be so long.
-const MAX_HEAD: usize = 16 * 1024;
-/// Headers that a request may have.
-const MAX_HEADERS: usize = 64;
 /// What is read at once.
 const SCRATCH: usize = 64 * 1024;
 /// Answers that may wait to be written. More can't be open than there are connections; whoever
@@ -542,119 +540,5 @@
     }
 }
 
-/// A request that is complete.
-struct Whole<'a> {
-    method: &'a str,
-    url: &'a str,
-    /// None if it is too long: then the rest of it is not read.
-    body: Option<Cow<'a, [u8]>>,
-    used: usize,
-    close: bool,
-}
-
-enum Parsed<'a> {
-    /// More must come; the client may wait to be told to send it.
-    Partial {
-        wants_go: bool,
-    },
-    Bad,
-    Whole(Whole<'a>),
-}
-
-fn parse(bytes: &[u8], most: usize) -> Parsed<'_> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    let start = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(start)) => start,
-        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD => {
-            return Parsed::Partial { wants_go: false };
-        }
-        _ => return Parsed::Bad,
-    };
-    let (Some(method), Some(url)) = (head.method, head.path) else {
-        return Parsed::Bad;
-    };
-    let mut framing = Framing::Length(0);
-    let mut close = head.version == Some(0);
-    let mut wants_go = false;
-    for header in head.headers.iter() {
-        let Ok(value) = std::str::from_utf8(header.value) else {
-            continue;
-        };
-        let value = value.trim();
-        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
-        if is("content-length") {
-            match value.parse() {
-                Ok(n) => framing = Framing::Length(n),
-                Err(_) => return Parsed::Bad,
-            }
-        } else if is("transfer-encoding") {
-            framing = Framing::Chunked;
-        } else if is("connection") {
-            close |= value.eq_ignore_ascii_case("close");
-        } else if is("expect") {
-            wants_go = value.eq_ignore_ascii_case("100-continue");
-        }
-    }
-    let rest = &bytes[start..];
-    let (body, used) = match framing {
-        Framing::Length(n) if n > most => (None, rest.len()),
-        Framing::Length(n) if n > rest.len() => return Parsed::Partial { wants_go },
-        Framing::Length(n) => (Some(Cow::Borrowed(&rest[..n])), n),
-        Framing::Chunked => match chunks(rest, most) {
-            Chunks::Whole(body, used) => (Some(Cow::Owned(body)), used),
-            Chunks::TooLong => (None, rest.len()),
-            Chunks::Partial => return Parsed::Partial { wants_go },
-            Chunks::Bad => return Parsed::Bad,
-        },
-    };
-    Parsed::Whole(Whole {
-        method,
-        url,
-        body,
-        used: start + used,
-        close,
-    })
-}
-
-enum Framing {
-    Length(usize),
-    Chunked,
-}
-
-enum Chunks {
-    Whole(Vec<u8>, usize),
-    TooLong,
-    Partial,
-    Bad,
-}
-
-fn chunks(bytes: &[u8], most: usize) -> Chunks {
-    let mut body = Vec::new();
-    let mut at = 0;
-    loop {
-        let (head, size) = match httparse::parse_chunk_size(&bytes[at..]) {
-            Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Chunks::Partial,
-            Err(_) => return Chunks::Bad,
-        };
-        if size > (most - body.len()) as u64 {
-            return Chunks::TooLong;
-        }
-        let (from, size) = (at + head, size as usize);
-        let Some(chunk) = bytes.get(from..from + size + 2) else {
-            return Chunks::Partial;
-        };
-        if &chunk[size..] != b"\r\n" {
-            return Chunks::Bad;
-        }
-        body.extend_from_slice(&chunk[..size]);
-        at = from + size + 2;
-        if size == 0 {
-            return Chunks::Whole(body, at);
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -328,3 +328,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/tests/sim/gap.rs
+++ b/crates/core/tests/sim/gap.rs
@@ -5,10 +5,10 @@
 
 use super::world::{Asked, Plan, World};
 use rudderreel_wire::ids::JobId;
-use rudderreel_wire::job::{JobSpec, JobState};
+use rudderreel_wire::job::{JobSpec, JobState, Kind, Priority};
 
 /// Replicas, which run until their job is cancelled.
-fn replicas(n: u32, tasks: u32) -> JobSpec {
+pub fn replicas(n: u32, tasks: u32) -> JobSpec {
     let value = serde_json::json!({
         "id": format!("wk-{n:06}"), "reel": "standing", "crew": "blue", "rig": "standing",
         "precedence": "prod", "takes": tasks, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
@@ -281,3 +281,34 @@
         assert_eq!(world.on_machines(&ids[0]), 2);
     }
 }
+
+/// Users call jobs off just as their first tasks are about to start: what the leader has told, or another
+/// node, it starts nothing of. (It learned of changes with its next tick only, and sent starts before.)
+#[test]
+fn nothing_is_started_after_its_user_was_told() {
+    let (mut world, _, leader) = running(760, 3, false);
+    for n in 0..240 {
+        let mut spec = replicas(100 + n, 1);
+        (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
+        let id = spec.id.clone();
+        world.add_job(spec);
+        let node = (leader + n as usize % 2) % 3;
+        while !world.jobs[&id].accepted {
+            world.user_asks(node, &id, Asked::Submit);
+            world.run_until(world.now + 15);
+        }
+        world.run_until(world.now + 30 + u64::from(n) / 2);
+        world.user_asks(node, &id, Asked::Withdraw);
+        world.run_until(world.now + 700);
+    }
+    assert_eq!(world.starts_of_cancelled, vec![]);
+    let called_off = world
+        .jobs
+        .values()
+        .filter(|t| t.cancelled_at.is_some())
+        .count();
+    assert!(
+        called_off > 200,
+        "{called_off} jobs were called off in time"
+    );
+}
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -1,6 +1,7 @@
 //! Whole days in a small simulated world, with the protocol's rules as assertions.
 
 mod added;
+mod answers;
 mod gap;
 mod meetings;
 mod stores;
--- a/crates/core/tests/sim/meetings.rs
+++ b/crates/core/tests/sim/meetings.rs
@@ -44,7 +44,11 @@
     assert!(world.overlaps(a, b) > 0, "{a:?} and {b:?} did not meet");
     assert!(world.starts > 0, "nothing_ran");
     assert_eq!(unfinished(&world), Vec::<String>::new());
-    world.check_starts();
+    assert_eq!(
+        world.starts_of_cancelled,
+        vec![],
+        "starts of cancelled jobs"
+    );
     world.check_served();
 }
 
--- /dev/null
+++ b/crates/core/tests/sim/world/users.rs
@@ -0,0 +1,301 @@
+//! Users: what they submit, ask and call off, and what they are told.
+
+use super::*;
+
+impl World {
+    /// Users call some jobs off just as their last task ends.
+    pub(super) fn jobs_ended(&mut self) {
+        let done = |(id, tasks): &(&JobId, &BTreeSet<u32>)| {
+            tasks.len() as u32 == self.jobs[*id].spec.tasks && !self.ended.contains(*id)
+        };
+        let ended: Vec<JobId> = (self.results.iter().filter(done))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.ended.insert(id.clone());
+            if self.now < self.cancel_at_end_until && self.rng.random_bool(0.6) {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.user_asks(node, &id, Asked::Withdraw);
+                self.look_closely(&id);
+            }
+        }
+    }
+
+    /// A user asks at all nodes within milliseconds, and repeats the submission.
+    pub(super) fn look_closely(&mut self, id: &JobId) {
+        for node in 0..self.plan.nodes {
+            for asked in [Asked::Status, Asked::Submit] {
+                let delay = self.rng.random_range(0..12);
+                self.after(delay, Event::Look(node, id.clone(), asked));
+            }
+        }
+    }
+
+    pub(super) fn user(&mut self) {
+        let next = self.rng.random_range(self.plan.pace / 4..self.plan.pace);
+        self.after(next, Event::User);
+        let share = if self.plan.rush { 1.0 } else { 0.15 };
+        if self.next_job < self.plan.jobs && self.rng.random_bool(share) {
+            self.next_job += 1;
+            let spec = if self.plan.rush {
+                self.small_job()
+            } else if self.plan.crowd {
+                self.crowd_job()
+            } else {
+                self.new_job()
+            };
+            self.add_job(spec);
+        }
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        if ids.is_empty() {
+            return;
+        }
+        let id = ids[self.rng.random_range(0..ids.len())].clone();
+        let told = &self.jobs[&id];
+        let service = told.spec.kind == Kind::Service;
+        let asked = if !told.accepted || self.rng.random_bool(0.05) {
+            Asked::Submit
+        } else if self.rng.random_bool(if service { 0.05 } else { 0.02 }) {
+            Asked::Withdraw
+        } else {
+            Asked::Status
+        };
+        let node = self.rng.random_range(0..self.plan.nodes);
+        self.user_asks(node, &id, asked);
+    }
+
+    /// A job that a user is about to submit.
+    pub fn add_job(&mut self, spec: JobSpec) {
+        let told = Told {
+            spec: spec.clone(),
+            accepted: false,
+            last: None,
+            cancelled_at: None,
+            withdrawn: false,
+            fits_since: None,
+            run_ms: if self.plan.uneven {
+                (1_000, 13_000)
+            } else {
+                (4_000, 0)
+            },
+            final_at: 0,
+            asked_at: self.now,
+            accepted_at: 0,
+            begun_at: None,
+            answered: BTreeMap::new(),
+        };
+        self.jobs.insert(spec.id.clone(), told);
+    }
+
+    /// A user asks something of a node, if it is up.
+    pub fn user_asks(&mut self, node: usize, id: &JobId, asked: Asked) {
+        let request = match asked {
+            Asked::Submit => UserRequest::Submit(Box::new(self.jobs[id].spec.clone())),
+            Asked::Status => UserRequest::Status(id.clone()),
+            Asked::Withdraw => UserRequest::Withdraw(id.clone()),
+        };
+        if asked == Asked::Withdraw {
+            self.jobs.get_mut(id).expect("a job").withdrawn = true;
+        }
+        if self.nodes[node].core.is_some() {
+            let req = self.ask(node, Asker::User(id.clone(), asked, self.now));
+            self.step(node, Input::User(req, request));
+        }
+    }
+
+    pub(super) fn new_job(&mut self) -> JobSpec {
+        let rng = &mut self.rng;
+        let kinds = if self.plan.no_replicas { 2 } else { 3 };
+        let kind = ["sweep", "gang", "standing"][rng.random_range(0..kinds)];
+        let team = ["red", "blue"][rng.random_range(0..2)];
+        let priority = if kind == "standing" { "prod" } else { "normal" };
+        let tasks = match (self.plan.large, kind) {
+            (true, "sweep") => rng.random_range(20..60),
+            (true, "gang") => rng.random_range(4..16),
+            _ => rng.random_range(1..5),
+        };
+        let together = kind == "gang" && rng.random_bool(0.5);
+        let scatter = kind == "standing" && !self.plan.bound && rng.random_bool(0.5);
+        let berth =
+            (self.plan.bound && rng.random_bool(0.5)).then(|| ["a", "b"][rng.random_range(0..2)]);
+        let value = serde_json::json!({
+            "id": format!("wk-{:06}", self.next_job), "reel": kind, "crew": team, "rig": kind,
+            "precedence": priority, "takes": tasks, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
+            "pressing": format!("img-{}", rng.random_range(0..2)), "pullGb": 0.5, "hulls": null,
+            "berth": berth, "together": together, "scatter": scatter,
+            "driftwood": kind != "standing", "expectedS": 4.0, "snapshotS": 0.0, "stowS": 0.0,
+            "dueS": null});
+        serde_json::from_value(value).expect("a job")
+    }
+
+    /// A job of one task.
+    pub(super) fn small_job(&mut self) -> JobSpec {
+        let mut spec = self.new_job();
+        (spec.kind, spec.tasks) = (Kind::Array, 1);
+        (spec.one_zone, spec.spread, spec.spot) = (false, false, true);
+        spec.class = "sweep".into();
+        spec.priority = Priority::Normal;
+        let id = spec.id.clone();
+        // A submission is repeated; that of an accepted job is answered, too.
+        for again in 0..12 {
+            let node = self.rng.random_range(0..self.plan.nodes);
+            self.after(
+                1 + again * 4_000,
+                Event::Look(node, id.clone(), Asked::Submit),
+            );
+        }
+        if self.rng.random_bool(0.25) {
+            let delay = self.rng.random_range(50..9_000);
+            for again in 0..12 {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.after(
+                    delay + again * 4_000,
+                    Event::Look(node, id.clone(), Asked::Withdraw),
+                );
+            }
+        }
+        spec
+    }
+
+    /// Submissions that can't be accepted, and cancellations of jobs that are over.
+    pub(super) fn odd_requests(&mut self) {
+        let node = self.rng.random_range(0..self.plan.nodes);
+        if self.nodes[node].core.is_none() {
+            return;
+        }
+        let mut spec = self.new_job();
+        self.next_odd += 1;
+        spec.id = format!("wk-{}", 900_000 + self.next_odd)
+            .parse()
+            .expect("an id");
+        match self.rng.random_range(0..4) {
+            0 => spec.team = "nobody".into(),
+            1 => spec.cpus = 5.0,
+            2 => spec.types = Some(vec!["m-none".into()]),
+            _ => (spec.kind, spec.tasks, spec.cpus) = (Kind::Gang, 90_000, 4.0),
+        }
+        let req = self.ask(node, Asker::Odd(spec.id.clone()));
+        self.step(node, Input::User(req, UserRequest::Submit(Box::new(spec))));
+        let over = |t: &&Told| matches!(t.last, Some(JobState::Done | JobState::Cancelled));
+        let over: Vec<JobId> = (self.jobs.values().filter(over))
+            .map(|t| t.spec.id.clone())
+            .collect();
+        if !over.is_empty() {
+            let id = over[self.rng.random_range(0..over.len())].clone();
+            self.user_asks(node, &id, Asked::Withdraw);
+            self.look_closely(&id);
+        }
+    }
+
+    /// Small arrays all the time, most of one team; now and then a large array, or a gang that
+    /// needs most of a zone.
+    pub(super) fn crowd_job(&mut self) -> JobSpec {
+        let n = self.next_job;
+        let (kind, tasks, cpus) = match n % 80 {
+            7 | 47 => ("gang", 4, 4.0),
+            19 => ("sweep", 100, 1.0),
+            _ => ("sweep", self.rng.random_range(1..4), 1.0),
+        };
+        let team = if n % 10 == 3 || kind == "gang" {
+            "red"
+        } else {
+            "blue"
+        };
+        let value = serde_json::json!({
+            "id": format!("wk-{n:06}"), "reel": kind, "crew": team, "rig": kind,
+            "precedence": "normal", "takes": tasks, "vcpus": cpus, "gpus": 0.0, "memoryGb": 1.0,
+            "pressing": "img-0", "pullGb": 0.5, "hulls": null, "berth": null,
+            "together": kind == "gang", "scatter": false, "driftwood": true, "expectedS": 4.0,
+            "snapshotS": 0.0, "stowS": 0.0, "dueS": null});
+        serde_json::from_value(value).expect("a job")
+    }
+
+    /// Once there are no troubles, every job is asked after at each node in turn, and each must
+    /// answer in time: a refusal is no answer.
+    pub(super) fn sweep(&mut self, round: usize) {
+        self.after(5_000, Event::Sweep(round + 1));
+        self.check_waiting();
+        let node = round % self.plan.nodes;
+        let since = self.calm_since.unwrap_or(self.now);
+        let ids: Vec<JobId> = (self.jobs.iter())
+            .filter(|(_, t)| t.accepted)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let told = &self.jobs[&id];
+            for n in 0..self.plan.nodes {
+                let answered = told.answered.get(&n).copied().unwrap_or(0);
+                let last = answered.max(told.accepted_at).max(since);
+                assert!(
+                    self.now <= last + KNOWN_MS,
+                    "forgotten: {id} at node {n}, at {}",
+                    self.now
+                );
+            }
+            if self.nodes[node].core.is_some() {
+                let req = self.ask(node, Asker::User(id.clone(), Asked::Status, self.now));
+                self.step(node, Input::User(req, UserRequest::Status(id)));
+            }
+        }
+    }
+
+    pub(super) fn told(&mut self, id: &JobId, asked: Asked, at: u64, status: u16, body: &str) {
+        let now = self.now;
+        let told = self.jobs.get_mut(id).expect("a known job");
+        if status == 503 {
+            return;
+        }
+        if status == 404 {
+            assert!(!told.accepted, "forgotten: {id} got 404");
+            return;
+        }
+        assert!(
+            status == 200 || (status == 201 && asked == Asked::Submit),
+            "{id} got {status}: {body}"
+        );
+        let value: Value = serde_json::from_str(body).expect("JSON");
+        let state: JobState = serde_json::from_value(value["bearing"].clone()).expect("a state");
+        if !told.accepted {
+            told.accepted = true;
+            told.accepted_at = now;
+        }
+        if let Some(last @ (JobState::Done | JobState::Cancelled)) = told.last {
+            // A request that was under way when its user was told may be answered by what was
+            // read before; users ask one thing after the other.
+            assert!(
+                state == last || at <= told.final_at,
+                "went_back: {id} {last:?} {state:?}"
+            );
+            return;
+        }
+        if matches!(state, JobState::Done | JobState::Cancelled) {
+            told.final_at = now;
+        }
+        if state == JobState::Done {
+            let done = self.results.get(id).map_or(0, BTreeSet::len) as u32;
+            assert_eq!(done, told.spec.tasks, "not_done: {id} at {now}");
+        }
+        if state == JobState::Cancelled {
+            assert!(told.withdrawn, "went_back: nobody cancelled {id}");
+            told.cancelled_at.get_or_insert(now);
+        }
+        let news = told.last.is_none() || told.last != Some(state);
+        told.last = Some(state);
+        if news && now < self.close_looks_until {
+            self.look_closely(id);
+            if state == JobState::Queued && self.rng.random_bool(0.2) {
+                let node = self.rng.random_range(0..self.plan.nodes);
+                self.jobs.get_mut(id).expect("a job").withdrawn = true;
+                let delay = self.rng.random_range(0..12);
+                self.after(delay, Event::Look(node, id.clone(), Asked::Withdraw));
+            }
+        }
+    }
+
+    /// A user withdraws a job and is gone before the answer comes.
+    pub fn withdraw_and_leave(&mut self, node: usize, id: &JobId) {
+        self.jobs.get_mut(id).expect("a job").withdrawn = true;
+        let req = self.ask(node, Asker::Nobody);
+        self.step(node, Input::User(req, UserRequest::Withdraw(id.clone())));
+    }
+}
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Committed {
     /// The store's revision.
-    #[serde(rename = "logline", default)]
+    #[serde(rename = "logline")]
     pub revision: Version,
     /// Keys whose conditions failed.
     #[serde(default)]
