--- a/crates/core/tests/sim/answers.rs
+++ b/crates/core/tests/sim/answers.rs
@@ -271,3 +271,48 @@
     node.ask(2, UserRequest::Status(id()));
     assert_eq!(node.told(2).expect("an answer").1["bearing"], "aborted");
 }
+
+/// A repeated submission is answered with the state of the job that was accepted, however much it differs
+/// from the first; so is one that could not be accepted by itself. A job that is over stays as it is, and one
+/// that nobody submitted is unknown.
+#[test]
+fn odd_requests_get_the_documented_answers() {
+    for (state, odd) in [
+        ("pending", false),
+        ("done", false),
+        ("done", true),
+        ("aborted", true),
+    ] {
+        let mut node = Node::new(3);
+        node.watched(&id(), 20, record(state));
+        node.all_know(20);
+        let mut other = replicas(1, 3);
+        if odd {
+            other.team = "nobody".into();
+        }
+        node.ask(1, UserRequest::Submit(Box::new(other)));
+        if state == "pending" {
+            let check = node.expect(is_check);
+            node.answer(check, StateAnswer::Committed(Version(20)));
+        }
+        let (status, body) = node.told(1).expect("an answer");
+        assert_eq!((status, &body["bearing"]), (200, &json!(state)), "{odd}");
+        if state != "pending" {
+            node.ask(2, UserRequest::Withdraw(id()));
+            let (status, body) = node.told(2).expect("an answer");
+            assert_eq!((status, &body["bearing"]), (200, &json!(state)));
+        }
+    }
+    let mut node = Node::new(3);
+    node.ask(1, UserRequest::Withdraw(id()));
+    let read = node.expect(is_read);
+    node.answer(read, StateAnswer::Missing);
+    assert_eq!(node.told(1).map(|(status, _)| status), Some(404));
+    // Without the machine types, and without the state service, it is refused at once.
+    node.ask(2, UserRequest::Submit(Box::new(replicas(2, 1))));
+    assert_eq!(node.told(2).map(|(status, _)| status), Some(503));
+    let mut unknown = replicas(3, 1);
+    unknown.team = "nobody".into();
+    node.ask(3, UserRequest::Submit(Box::new(unknown)));
+    assert_eq!(node.told(3).map(|(status, _)| status), Some(503));
+}
