--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -130,6 +130,10 @@
     }
 }
 
+/// What the state service says of a `set` whose lease has ended; any other 400 rejects the
+/// transaction itself.
+const NO_SUCH_LEASE: &str = "no such lease";
+
 fn state_answer(call: &StateCall, status: u16, body: &[u8]) -> StateAnswer {
     match (status, call) {
         (200, StateCall::Get(_)) => parsed(body, StateAnswer::Unknown, |i: Item<Value>| {
@@ -150,8 +154,13 @@
             StateAnswer::Conflict(c.failed)
         }),
         (400, StateCall::Commit(_)) => {
-            log::warn!("the state service says {}", String::from_utf8_lossy(body));
-            StateAnswer::NoSuchLease
+            let text = String::from_utf8_lossy(body);
+            log::warn!("the state service says {text}");
+            if text.contains(NO_SUCH_LEASE) {
+                StateAnswer::NoSuchLease
+            } else {
+                StateAnswer::Rejected
+            }
         }
         _ => StateAnswer::Refused,
     }
--- /dev/null
+++ b/crates/core/src/acceptance.rs
@@ -0,0 +1,239 @@
+//! Submissions: whether a job can ever run, and the commit that accepts it.
+//!
+//! Any node accepts a job, by creating its record on the condition that there is none yet. A job that
+//! depends on others is accepted only if all of them were: acceptance is permanent, so that may be
+//! checked before. The same commit confirms that none of what it depends on, directly or through
+//! others, was cancelled meanwhile; a job that names a cancelled one is accepted as cancelled.
+
+use crate::core::Core;
+use crate::dependencies::Ancestry;
+use crate::io::{error_body, json, StateAnswer, StateCall, UserRequest};
+use crate::reads::{UserStep, Waiting, PATIENCE};
+use crate::records::{job_key, JobRecord, JOBS};
+use crate::units::{Now, Resources};
+use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::job::{JobAnswer, JobSpec, JobState, Kind};
+use rudderreel_wire::state::{Change, Condition, Transaction};
+use std::collections::BTreeMap;
+
+/// Why a job can never run. Its user is told so with 422 and does not try again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NeverRuns {
+    /// No such team.
+    #[error("unknown team")]
+    UnknownTeam,
+    /// No machine type suits one of its tasks.
+    #[error("a task fits no allowed machine type")]
+    FitsNoMachine,
+    /// It needs more than its team may use.
+    #[error("the job needs more than its team's limit")]
+    OverLimit,
+    /// It depends on itself.
+    #[error("the job depends on itself")]
+    DependsOnItself,
+    /// It depends on a service, which is never done.
+    #[error("the job depends on a service, which is never done")]
+    DependsOnService,
+    /// Its record would be larger than the state service takes.
+    #[error("the submission is too large to be stored: fewer dependencies or machine types")]
+    TooLarge,
+}
+
+/// A job that is being created.
+#[derive(Clone, Debug)]
+pub struct NewJob {
+    record: JobRecord,
+    /// Whether the commit confirms everything that the job depends on.
+    confirmed: bool,
+}
+
+/// A commit of a job's record, on the condition of its version and of some other jobs'.
+pub fn put_job(
+    id: &JobId,
+    version: Version,
+    record: &JobRecord,
+    others: &BTreeMap<JobId, Version>,
+) -> StateCall {
+    let key = job_key(id);
+    let mut conditions = vec![Condition {
+        key: key.clone(),
+        version,
+    }];
+    conditions.extend(others.iter().map(|(id, &version)| Condition {
+        key: job_key(id),
+        version,
+    }));
+    StateCall::Commit(Transaction {
+        conditions,
+        changes: vec![Change::Put {
+            key,
+            value: serde_json::to_value(record).unwrap_or_default(),
+            lease: None,
+        }],
+    })
+}
+
+impl Core {
+    /// Why a job can never run; none if that can't be decided yet.
+    pub(crate) fn never_runs(&self, spec: &JobSpec) -> Option<Result<(), NeverRuns>> {
+        let catalog = self.catalog.as_ref()?;
+        let Some(leaf) = self.tree.find(&spec.team) else {
+            return Some(Err(NeverRuns::UnknownTeam));
+        };
+        let need = Resources::of_task(spec);
+        let fits = catalog.types.iter().any(|t| {
+            spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+                && (spec.zone.as_ref()).is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
+                && Resources::of_machine(t).holds(&need)
+        });
+        if !fits {
+            return Some(Err(NeverRuns::FitsNoMachine));
+        }
+        let whole = if spec.kind == Kind::Array {
+            1
+        } else {
+            spec.tasks
+        };
+        let need = crate::tree::amounts(&need.times(whole));
+        let allowed = self.tree.chain(leaf).all(|n| {
+            let limit = &self.tree.nodes[n].limit;
+            need.iter().zip(limit).all(|(n, l)| *n <= *l + 1e-9)
+        });
+        if !allowed {
+            return Some(Err(NeverRuns::OverLimit));
+        }
+        Some(self.check_dependencies(spec))
+    }
+
+    fn check_dependencies(&self, spec: &JobSpec) -> Result<(), NeverRuns> {
+        if spec.dependencies.contains(&spec.id) {
+            return Err(NeverRuns::DependsOnItself);
+        }
+        let is_service = |id: &JobId| {
+            let known = self.directory.jobs.get(id);
+            let spec = known.and_then(|k| k.record.spec.as_ref());
+            spec.is_some_and(|s| s.kind == Kind::Service)
+        };
+        if spec.dependencies.iter().any(is_service) {
+            return Err(NeverRuns::DependsOnService);
+        }
+        let record = JobRecord::queued(&self.without_done(spec), Default::default());
+        if !self.limits.fits(&record) {
+            return Err(NeverRuns::TooLarge);
+        }
+        Ok(())
+    }
+
+    /// A submission without the dependencies that are done: nothing waits for these.
+    fn without_done(&self, spec: &JobSpec) -> JobSpec {
+        let mut spec = spec.clone();
+        let done = |id: &JobId| {
+            let known = self.directory.jobs.get(id);
+            known.is_some_and(|k| k.record.state == JobState::Done)
+        };
+        spec.dependencies.retain(|id| !done(id));
+        spec
+    }
+
+    /// Creates a job that can run and is not known to be accepted.
+    pub(crate) fn create(&mut self, waiting: Waiting, now: Now) {
+        let UserRequest::Submit(spec) = &waiting.request else {
+            return;
+        };
+        let known = |id: &&JobId| self.directory.jobs.contains_key(*id);
+        if let Some(unknown) = spec.dependencies.iter().find(|id| !known(id)) {
+            let unknown = unknown.clone();
+            return self.read_dependency(waiting, unknown);
+        }
+        let id = spec.id.clone();
+        let Ancestry {
+            cancelled,
+            mut unfinished,
+        } = self.directory.ancestry(&spec.dependencies);
+        let mut record = JobRecord::queued(&self.without_done(spec), now.wall);
+        if let Some(by) = &cancelled {
+            record = record.cancelled(now.wall, Some(by), &self.limits);
+            unfinished.clear();
+        }
+        let confirmed = unfinished.len() < self.limits.conditions();
+        if !confirmed {
+            unfinished.clear();
+        }
+        let call = put_job(&id, Version(0), &record, &unfinished);
+        let job = NewJob { record, confirmed };
+        self.user_call(call, UserStep::Create(waiting, Box::new(job)));
+    }
+
+    fn read_dependency(&mut self, waiting: Waiting, id: JobId) {
+        let call = StateCall::Get(job_key(&id));
+        self.user_call(call, UserStep::ReadDependency(waiting, id));
+    }
+
+    /// The answer to a read of a job that a submission depends on.
+    pub(crate) fn dependency_was_read(
+        &mut self,
+        waiting: Waiting,
+        id: JobId,
+        answer: StateAnswer,
+        now: Now,
+    ) {
+        match answer {
+            StateAnswer::Found(item) => {
+                let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else {
+                    return self.refuse(waiting.req, "unreadable record");
+                };
+                self.directory.learn_job(id, item.version, record);
+            }
+            // It was read before what the cache has learned since.
+            StateAnswer::Missing if self.directory.jobs.contains_key(&id) => {}
+            StateAnswer::Missing => {
+                let text = format!("the job depends on {id}, which was never accepted");
+                return self.answer(waiting.req, 422, error_body(&text));
+            }
+            _ => return self.forward_or_refuse(waiting, now),
+        }
+        if now.time > waiting.since + PATIENCE {
+            return self.refuse(waiting.req, "the state service did not answer in time");
+        }
+        self.serve(waiting, now);
+    }
+
+    /// The answer to a job's creation.
+    pub(crate) fn was_created(
+        &mut self,
+        waiting: Waiting,
+        job: NewJob,
+        answer: StateAnswer,
+        now: Now,
+    ) {
+        match answer {
+            StateAnswer::Committed(version) => {
+                let id = waiting.job().clone();
+                self.directory.learn_job(id.clone(), version, job.record);
+                // Another node may have read it and cancelled it meanwhile, or what it depends on.
+                let cancelled = self.directory.ancestry_of(&id).cancelled;
+                if self.is_final(&id) || !job.confirmed || cancelled.is_some() {
+                    return self.tell_read(waiting, now);
+                }
+                let state = JobState::Queued;
+                self.answer(waiting.req, 201, json(&JobAnswer { id, state }));
+            }
+            StateAnswer::Conflict(keys) => self.creation_conflicts(waiting, &keys, now),
+            // It may have been created, or may yet be: reading or creating it again is safe.
+            StateAnswer::Unknown => self.again(waiting, now),
+            _ => self.forward_or_refuse(waiting, now),
+        }
+    }
+
+    /// The job exists already, or what is known of its dependencies is out of date.
+    fn creation_conflicts(&mut self, waiting: Waiting, keys: &[String], now: Now) {
+        let stale = (keys.iter()).filter_map(|key| key.strip_prefix(JOBS)?.parse::<JobId>().ok());
+        let mut others = stale.filter(|id| id != waiting.job());
+        match others.next() {
+            Some(dependency) if keys.iter().all(|k| *k != job_key(waiting.job())) => {
+                self.read_dependency(waiting, dependency)
+            }
+            _ => self.again(waiting, now),
+        }
+    }
+}
--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -67,9 +67,9 @@
 /// Makes room within a team for work of higher priority.
 pub fn preempt(lead: &Lead, picture: &mut Snapshot, waiting: &[&Job], scenario: &mut Scenario) {
     // Only what some other work yields to can preempt.
-    let lowest = lead.jobs.values().map(|j| j.spec.priority).min();
+    let lowest = lead.jobs.values().map(|j| j.goal.priority).min();
     let higher: Vec<&Job> = (waiting.iter().copied())
-        .filter(|j| Some(j.spec.priority) > lowest)
+        .filter(|j| Some(j.goal.priority) > lowest)
         .collect();
     let how = ("preempted", lead.preempt_min_runtime, may_preempt as Rule);
     evict_for(lead, picture, &higher, scenario, how);
@@ -103,7 +103,7 @@
 }
 
 fn may_preempt(_: &Lead, _: &Snapshot, job: &Job, victim: &Job, _: &Amounts) -> bool {
-    job.spec.team == victim.spec.team && job.spec.priority > victim.spec.priority
+    job.spec.team == victim.spec.team && job.goal.priority > victim.goal.priority
 }
 
 /// What starting again costs a task, besides the work that is lost.
@@ -220,7 +220,7 @@
     if job.evictable() && job.spec.kind == Kind::Array {
         // So does all that can't save, for what is no less urgent: one array's work lost for
         // another's is late twice.
-        candidates.retain(|v| v.saves || v.priority < job.spec.priority);
+        candidates.retain(|v| v.saves || v.priority < job.goal.priority);
     }
     if job.need.gpus == 0 && lead.fits_without_gpus(&job.spec, &job.need) {
         // Work that only needs CPUs does not end work on GPUs for the CPUs beside them.
@@ -274,7 +274,7 @@
                 need: e.need,
                 loss: loss * e.need.cpus.max(1) as u64,
                 saves: saved,
-                priority: victim.spec.priority,
+                priority: victim.goal.priority,
                 nearly_over: !saved && victim.spec.estimate_s * 500.0 < ran as f64,
             })
         })
--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -36,14 +36,14 @@
         .filter(|j| j.spec.kind == Kind::Gang && j.spec.tasks > 1 && !j.begun && !j.is_suspected())
         .filter(|j| picture.taken(&j.spec.id) == 0)
         .collect();
-    gangs.sort_by_key(|j| j.submitted);
+    gangs.sort_by_key(|j| j.waits_since());
     for job in gangs.into_iter().take(DEPTH) {
         let zones: Vec<Option<usize>> = if job.spec.one_zone {
             (0..picture.zone_names.len()).map(Some).collect()
         } else {
             vec![None]
         };
-        let waited = Span(picture.now.wall.0.saturating_sub(job.submitted.0)).as_secs();
+        let waited = Span(picture.now.wall.0.saturating_sub(job.waits_since().0)).as_secs();
         if picture.gathering.len() >= GANGS && waited < LONG_S {
             // The others have waited less.
             return;
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -154,6 +154,10 @@
         if let Err(text) = check(&new.settings, &self.platform_tree) {
             return self.answer(req, 400, error_body(&text));
         }
+        if !self.limits.fits(&new.settings) {
+            let text = "the settings are larger than the state service stores";
+            return self.answer(req, 400, error_body(text));
+        }
         if !self.election.state_ok(now.time) {
             return self.refuse(req, "the state service does not answer");
         }
@@ -238,7 +242,13 @@
     fn explain(&self, lead: &Lead, id: &JobId, now: Now) -> (u16, Value) {
         let Some(job) = lead.jobs.get(id) else {
             return match self.directory.jobs.get(id) {
-                Some(known) => (200, json!({ "id": id, "state": known.record.state })),
+                Some(known) => (
+                    200,
+                    json!({
+                        "id": id, "state": known.record.state,
+                        "cancelled_with": known.record.cancelled_by,
+                    }),
+                ),
                 None => (404, json!({ "error": "no such job" })),
             };
         };
@@ -262,6 +272,12 @@
             "id": id,
             "team": job.spec.team,
             "cancelled": job.stage != Stage::Active,
+            "waits_for": job.unmet.iter().take(MOST_LISTED).collect::<Vec<_>>(),
+            "needed_by": (self.directory.graph.dependents_of(id))
+                .take(MOST_LISTED)
+                .collect::<Vec<_>>(),
+            "priority": job.goal.priority,
+            "finish_by_ms": job.goal.finish_by.map(|wall| wall.0),
             "done": job.done.len(),
             "of": job.spec.tasks,
             "to_start": job.free_tasks(),
@@ -289,6 +305,9 @@
     if !job.is_active() {
         return "it was cancelled";
     }
+    if !job.is_ready() {
+        return "it waits for jobs that it depends on";
+    }
     if job.is_suspected() {
         return "it fails wherever it is tried, perhaps for a mistake; it is tried now and then";
     }
--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -16,6 +16,7 @@
 use crate::possession::{Entry, Machine, Phase};
 use crate::records::{page_key, MachineLine, PageId, PageRecord, LEADER};
 use crate::recovery::{condition, put, LeadStep};
+use crate::store_limits::StoreLimits;
 use crate::task_set::TaskSet;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{JobId, MachineId, Version};
@@ -29,13 +30,21 @@
 const TIDY: Span = Span(1_000);
 /// A commit that was refused is repeated after so long.
 const AGAIN: Span = Span(200);
-/// A page is filled up to this part of what a value may hold.
-const FILL: f64 = 0.6;
+/// A page is filled up to this part of what a value may hold: sizes are counted, not measured.
+const FILL: f64 = 0.9;
 /// A transaction holds 64 KiB; a page leaves room for the rest of it.
 const PAGE_BYTES: usize = 40_000;
-/// What a job's progress takes, and each range of done tasks.
-const JOB_BYTES: usize = 40;
-const RANGE_BYTES: usize = 14;
+/// What a machine's line takes without names, with the punctuation round it.
+const LINE_BYTES: usize = 62;
+/// What the tasks of one attempt take without the job's id, and each of them: attempts have up to
+/// 14 digits for more than a million epochs, and tasks up to 6.
+const GROUP_BYTES: usize = 24;
+const INDEX_BYTES: usize = 7;
+/// What a job's progress takes without its id, and each range of done tasks.
+const JOB_BYTES: usize = 24;
+const RANGE_BYTES: usize = 16;
+/// What an empty page takes.
+const EMPTY_BYTES: usize = 24;
 /// Pages that are left alone however little is on them.
 const FEW_PAGES: usize = 12;
 
@@ -71,9 +80,9 @@
     bytes: usize,
 }
 
-/// How many bytes a page may have, with values of so many KiB.
-pub fn page_bytes(value_kb: f64) -> usize {
-    ((value_kb * 1024.0 * FILL) as usize).clamp(1_000, PAGE_BYTES)
+/// How many bytes a page is filled with.
+fn page_bytes(limits: &StoreLimits) -> usize {
+    ((limits.value_bytes as f64 * FILL) as usize).min(PAGE_BYTES)
 }
 
 impl Books {
@@ -88,7 +97,7 @@
     }
 
     /// Takes so many changes from the budget, if it has them.
-    fn take(&mut self, changes: f64, rate: f64, now: Time) -> bool {
+    pub(crate) fn take(&mut self, changes: f64, rate: f64, now: Time) -> bool {
         let (left, at) = self.budget;
         let left = (left + (now - at).as_secs() * rate).min(rate);
         let taken = left >= changes.min(rate);
@@ -107,9 +116,16 @@
 }
 
 impl Draft {
+    fn new() -> Self {
+        Self {
+            bytes: EMPTY_BYTES,
+            ..Self::default()
+        }
+    }
+
     fn line(&mut self, machine: &Machine) -> &mut MachineLine {
-        if self.record.machines.last().map(|l| &l.id) != Some(&machine.id) {
-            self.bytes += 90 + machine.id.as_str().len() + machine.zone.as_str().len();
+        if !self.ends_with(machine) {
+            self.bytes += line_bytes(machine);
             self.record.machines.push(MachineLine {
                 id: machine.id.clone(),
                 machine_type: machine.machine_type.clone(),
@@ -123,6 +139,11 @@
         &mut self.record.machines[last]
     }
 
+    /// Whether the last line is that of a machine.
+    fn ends_with(&self, machine: &Machine) -> bool {
+        self.record.machines.last().map(|l| &l.id) == Some(&machine.id)
+    }
+
     fn add(&mut self, machine: &Machine, entry: &Entry) {
         let (job, index) = (&entry.task.job, entry.task.index);
         let tasks = &mut self.line(machine).tasks;
@@ -130,19 +151,45 @@
             Some((j, a, indexes)) if j == job && *a == entry.attempt => indexes.push(index),
             _ => {
                 tasks.push((job.clone(), entry.attempt, vec![index]));
-                self.bytes += 30 + job.as_str().len();
+                self.bytes += GROUP_BYTES + job.as_str().len();
             }
         }
-        self.bytes += 7;
+        self.bytes += INDEX_BYTES;
+    }
+
+    /// Adds a machine's line, in a page of so many bytes; returns whether there was room.
+    fn add_line_within(&mut self, machine: &Machine, most: usize) -> bool {
+        let fits = self.is_empty() || self.bytes + line_bytes(machine) <= most;
+        if fits {
+            self.line(machine);
+        }
+        fits
+    }
+
+    /// Adds an entry, in a page of so many bytes; returns whether there was room.
+    fn add_within(&mut self, machine: &Machine, entry: &Entry, most: usize) -> bool {
+        let line = if self.ends_with(machine) {
+            0
+        } else {
+            line_bytes(machine)
+        };
+        let entry_bytes = GROUP_BYTES + entry.task.job.as_str().len() + INDEX_BYTES;
+        let fits = self.is_empty() || self.bytes + line + entry_bytes <= most;
+        if fits {
+            self.add(machine, entry);
+        }
+        fits
     }
 
     /// Adds what has been done of a job since, in a page of so many bytes; returns whether there was
     /// room. Of a job with a great many tasks some may have to wait for a later page: then workers
-    /// go on reporting them as done.
+    /// go on reporting them as done. What is recorded already may take more than a page has, if the
+    /// limits have been lowered since; then it stays where it is.
     fn add_new_progress(&mut self, job: &mut Job, most: usize) -> bool {
         let left = most.saturating_sub(self.bytes + JOB_BYTES + job.spec.id.as_str().len());
-        let room = (left / RANGE_BYTES).max(1);
-        if room < job.recorded.ranges().count() && !self.is_empty() {
+        let room = left / RANGE_BYTES;
+        let least = job.done.within(0, &job.recorded).ranges().count();
+        if room < least.max(1) {
             return false;
         }
         job.recorded = job.done.within(room, &job.recorded);
@@ -156,6 +203,7 @@
         let ranges: Vec<(u32, u32)> = job.recorded.ranges().collect();
         self.bytes += JOB_BYTES + id.as_str().len() + RANGE_BYTES * ranges.len();
         if job.is_suspected() {
+            self.bytes += JOB_BYTES + id.as_str().len();
             self.record
                 .suspected
                 .push((id.clone(), job.failures.tries()));
@@ -169,6 +217,37 @@
     }
 }
 
+/// Bytes of a machine's line without its tasks.
+fn line_bytes(machine: &Machine) -> usize {
+    let names = [
+        machine.id.as_str(),
+        machine.machine_type.as_str(),
+        machine.zone.as_str(),
+    ];
+    LINE_BYTES + names.iter().map(|name| name.len()).sum::<usize>()
+}
+
+/// Adds the entries of a machine that wait to be recorded, as far as there is room.
+fn draft_entries(
+    draft: &mut Draft,
+    machine: &mut Machine,
+    page: PageId,
+    urgent: bool,
+    most: usize,
+) {
+    for at in 0..machine.entries.len() {
+        let entry = &machine.entries[at];
+        let firm = entry.spec.as_ref().is_some_and(|s| crate::job::is_firm(s));
+        if !is_new(entry) || firm != urgent {
+            continue;
+        }
+        if !draft.add_within(machine, entry, most) {
+            return;
+        }
+        machine.entries[at].writing = page;
+    }
+}
+
 impl Lead {
     fn next_page(&mut self) -> PageId {
         self.books.named += 1;
@@ -178,26 +257,16 @@
 
     /// Puts what is not recorded yet on a page, what can't wait first.
     fn draft(&mut self, page: PageId, progress: bool) -> Draft {
-        let mut draft = Draft::default();
-        let most = self.page_bytes;
+        let mut draft = Draft::new();
+        let most = page_bytes(&self.limits);
         for urgent in [true, false] {
             for machine in self.machines.values_mut() {
-                let mut taken = Vec::new();
-                for entry in machine.entries.iter_mut().filter(|e| is_new(e)) {
-                    let firm = entry.spec.as_ref().is_some_and(|s| crate::job::is_firm(s));
-                    if firm == urgent && draft.bytes < most {
-                        entry.writing = page;
-                        taken.push(entry.clone());
-                    }
-                }
-                for entry in &taken {
-                    draft.add(machine, entry);
-                }
+                draft_entries(&mut draft, machine, page, urgent, most);
                 let unnamed = machine.page == PageId::NONE && machine.writing == PageId::NONE;
-                if unnamed && !urgent && draft.bytes < most {
-                    draft.line(machine);
+                if unnamed && !urgent {
+                    draft.add_line_within(machine, most);
                 }
-                if draft.record.machines.last().map(|l| &l.id) == Some(&machine.id) {
+                if draft.ends_with(machine) {
                     machine.writing = page;
                 }
             }
@@ -256,9 +325,9 @@
             return Vec::new();
         }
         light.sort_unstable();
-        let mut room = self.page_bytes / 60;
+        let mut room = page_bytes(&self.limits) / 60;
         let few: Vec<PageId> = (light.iter())
-            .take(self.page_ops.saturating_sub(2))
+            .take(self.limits.operations.saturating_sub(2))
             .take_while(|(w, _)| {
                 let fits = room >= *w;
                 room = room.saturating_sub(*w);
@@ -274,7 +343,7 @@
 
     /// Writes what still holds on some pages on a new one, whole: the old ones are deleted.
     fn rewrite(&mut self, page: PageId, old: &[PageId]) -> Draft {
-        let mut draft = Draft::default();
+        let mut draft = Draft::new();
         for machine in self.machines.values_mut() {
             let mut taken = Vec::new();
             for entry in machine.entries.iter_mut().filter(|e| holds(e)) {
@@ -299,6 +368,29 @@
         draft
     }
 
+    /// A page was not written and never will be: what is on it waits to be recorded again.
+    fn take_apart(&mut self, page: PageId) {
+        let Some(open) = self.books.open.remove(&page) else {
+            return;
+        };
+        self.unrecorded = true;
+        for machine in self.machines.values_mut() {
+            if machine.writing == page {
+                machine.writing = PageId::NONE;
+            }
+            for entry in machine.entries.iter_mut().filter(|e| e.writing == page) {
+                entry.writing = PageId::NONE;
+            }
+        }
+        for (id, _) in open.done {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.progress_dirty = true;
+            }
+        }
+        let pages = &self.books.pages;
+        self.books.dead.retain(|p| pages.contains(p));
+    }
+
     fn page_written(&mut self, page: PageId, open: OpenPage) -> Vec<MachineId> {
         for old in &open.deletes {
             self.books.pages.remove(old);
@@ -343,7 +435,7 @@
     /// Commits what has changed in the books.
     pub(crate) fn flush_books(&mut self, now: Now) {
         self.repeat_pages(now.time);
-        let rate = self.settings.params.state.write_rps * 0.7;
+        let rate = self.limits.placement_writes();
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
@@ -368,7 +460,7 @@
                 lead.books.budget.0 += 1.0;
                 break;
             }
-            let most = lead.page_ops.saturating_sub(1).min(4);
+            let most = lead.limits.operations.saturating_sub(1).min(4);
             let dead: Vec<PageId> = lead.books.dead.iter().take(most).copied().collect();
             let affordable = lead.books.take(dead.len() as f64, rate, now.time);
             let deletes = if affordable { dead } else { Vec::new() };
@@ -387,18 +479,19 @@
             let page = lead.next_page();
             let draft = lead.rewrite(page, &old);
             self.open_page(page, draft, old);
-        } else if lead.books.dead.len() >= lead.page_ops / 2 && lead.books.open.is_empty() {
+        } else if lead.books.dead.len() >= lead.limits.operations / 2 && lead.books.open.is_empty()
+        {
             let dead: Vec<PageId> = lead
                 .books
                 .dead
                 .iter()
-                .take(lead.page_ops)
+                .take(lead.limits.operations)
                 .copied()
                 .collect();
             if lead.books.take(dead.len() as f64, rate, now.time) {
                 lead.books.dead.retain(|p| !dead.contains(p));
                 let page = lead.next_page();
-                self.open_page(page, Draft::default(), dead);
+                self.open_page(page, Draft::new(), dead);
             }
         }
     }
@@ -467,6 +560,10 @@
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
+        if matches!(answer, StateAnswer::Rejected) {
+            // It would be rejected again as it is: what is on it goes on smaller ones.
+            return lead.take_apart(page);
+        }
         if !written {
             if let Some(open) = lead.books.open.get_mut(&page) {
                 open.again = Some(now.time + AGAIN);
@@ -485,3 +582,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -73,6 +73,8 @@
 const KEEP_MOST: f64 = 9.0;
 /// Idle machines are returned together, so often.
 const RETURNS: Span = Span(2_000);
+/// So long a follower waits for the stored machine types before it asks for them.
+const CATALOG_WAIT: Span = Span(10_000);
 /// Why idle machines are returned.
 const IDLE: &str = "idle";
 
@@ -317,6 +319,23 @@
         }
     }
 
+    /// A follower that has waited in vain for the stored machine types asks the cloud itself: they may
+    /// be too large to be stored.
+    pub(crate) fn fetch_catalog(&mut self, now: Now) {
+        if self.lead.is_some() || self.catalog.is_some() || !self.directory.complete {
+            return;
+        }
+        let cloud = &mut self.cloud;
+        if cloud.next_catalog == Time(0) {
+            cloud.next_catalog = now.time + CATALOG_WAIT;
+        }
+        if now.time >= cloud.next_catalog {
+            cloud.next_catalog = now.time + CATALOG_WAIT;
+            cloud.call(CloudCall::Catalog, CloudStep::Catalog);
+        }
+        cloud.pump(now.time, &mut self.out);
+    }
+
     /// Calls to the cloud that are due.
     pub(crate) fn cloud_tick(&mut self, now: Now) {
         let Some(lead) = self.lead.as_mut() else {
--- /dev/null
+++ b/crates/core/src/cascade.rs
@@ -0,0 +1,122 @@
+//! The leader writes that jobs are cancelled with what they depend on.
+//!
+//! They are cancelled from the commit of the one cancellation on (see `dependencies`); their records
+//! make that visible to all. The writes may be repeated and come in any order, since each depends on
+//! the version of the job's record. A leader that takes over finds what is left in its cache. Each
+//! record that is written shows the next jobs along the pipeline.
+
+use crate::core::Core;
+use crate::io::{StateAnswer, StateCall};
+use crate::records::{job_key, JobRecord};
+use crate::recovery::{condition, put, LeadStep};
+use crate::units::Now;
+use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::job::JobState;
+use rudderreel_wire::state::Transaction;
+
+/// Jobs looked at in one go: the rest follow with the next.
+const MOST: usize = 64;
+
+/// A job whose record is to be written.
+struct Condemned {
+    id: JobId,
+    version: Version,
+    record: JobRecord,
+}
+
+impl Core {
+    /// Writes records that are due, the oldest jobs first, within the leader's part of the writes.
+    pub(crate) fn flush_cancellations(&mut self, now: Now) {
+        let due = self.condemned(now);
+        for jobs in due.chunks(self.limits.operations) {
+            let Some(lead) = self.lead.as_mut() else {
+                return;
+            };
+            if !(lead.books).take(jobs.len() as f64, lead.limits.placement_writes(), now.time) {
+                return;
+            }
+            let mut conditions = vec![lead.leading()];
+            let mut changes = Vec::new();
+            for job in jobs {
+                lead.cascading.insert(job.id.clone());
+                conditions.push(condition(job_key(&job.id), job.version));
+                changes.push(put(job_key(&job.id), &job.record));
+            }
+            let call = StateCall::Commit(Transaction {
+                conditions,
+                changes,
+            });
+            let records = jobs.iter().map(|j| (j.id.clone(), j.record.clone()));
+            let step = LeadStep::Cascade(records.collect());
+            self.lead_call(call, step);
+        }
+    }
+
+    fn condemned(&self, now: Now) -> Vec<Condemned> {
+        let Some(lead) = &self.lead else {
+            return Vec::new();
+        };
+        let cancelled = |id: &&JobId| {
+            let known = self.directory.jobs.get(*id);
+            known.is_some_and(|k| k.record.state == JobState::Cancelled)
+        };
+        let mut due: Vec<Condemned> = (self.directory.graph.condemned())
+            .filter(|id| !lead.cascading.contains(id))
+            .take(MOST)
+            .filter_map(|id| {
+                let known = self.directory.jobs.get(id)?;
+                let by = known.dependencies().iter().find(cancelled)?;
+                Some(Condemned {
+                    id: id.clone(),
+                    version: known.version,
+                    record: known.record.cancelled(now.wall, Some(by), &self.limits),
+                })
+            })
+            .collect();
+        due.sort_by_key(|job| job.version);
+        due
+    }
+
+    /// The answer to such a commit.
+    pub(crate) fn cascaded(
+        &mut self,
+        jobs: Vec<(JobId, JobRecord)>,
+        answer: StateAnswer,
+        now: Now,
+    ) {
+        if self.lost_by(&answer) {
+            return;
+        }
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        for (id, _) in &jobs {
+            lead.cascading.remove(id);
+        }
+        match answer {
+            StateAnswer::Committed(version) => {
+                for (id, record) in jobs {
+                    log::info!("{id} is cancelled with {:?}", record.cancelled_by);
+                    self.directory.learn_job(id, version, record);
+                }
+                if let Some(lead) = self.lead.as_mut() {
+                    lead.wake(now.time);
+                }
+            }
+            // Not carried out: it is tried again.
+            StateAnswer::Refused | StateAnswer::Rejected => {}
+            StateAnswer::Conflict(keys) => self.read_jobs(
+                (jobs.into_iter().map(|(id, _)| id)).filter(|id| keys.contains(&job_key(id))),
+            ),
+            _ => self.read_jobs(jobs.into_iter().map(|(id, _)| id)),
+        }
+    }
+
+    /// Reads what jobs' keys hold after a commit that failed.
+    fn read_jobs(&mut self, ids: impl Iterator<Item = JobId>) {
+        for id in ids {
+            let call = StateCall::Get(job_key(&id));
+            self.lead_call(call, LeadStep::JobAgain(id));
+        }
+    }
+}
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -28,6 +28,7 @@
         let rules = [
             (self.ready && self.lease_valid(now), "leading"),
             (job.is_active(), "job active"),
+            (job.is_ready(), "dependencies done"),
             (!job.done.contains(entry.task.index), "not done"),
             (!elsewhere, "nowhere else"),
             (entry.is_recorded() && entry.stop.is_none(), "recorded"),
--- /dev/null
+++ b/crates/core/src/confirmation.rs
@@ -0,0 +1,260 @@
+//! Confirms that what the cache says of unfinished jobs is fresh, before users are told.
+//!
+//! Requests that came in within a short while are confirmed as a class, with one commit that only
+//! compares versions; it confirms only requests that arrived before it was sent. What a job depends on
+//! and is not done is confirmed with it: if any of that is cancelled, so is the job. A set that is too
+//! large for one transaction is confirmed in several: done and cancelled are final, so what was not
+//! cancelled at a later transaction was not at an earlier one either.
+
+use crate::core::Core;
+use crate::io::{StateAnswer, StateCall};
+use crate::reads::{UserStep, Waiting, PATIENCE};
+use crate::records::{job_key, JobRecord, JOBS};
+use crate::units::{Now, Span, Time};
+use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::state::{Condition, Transaction};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// How long requests are collected before they are confirmed together, at least.
+const COLLECT: Span = Span(15);
+/// Confirmations may use this part of a node's calls to the state service. So they cost more with
+/// the jobs asked about and with time, but not with how often users ask.
+const CONFIRM_PART: f64 = 0.3;
+/// Commits that confirm at one time; what does not fit waits for the next.
+const BATCHES: usize = 2;
+/// Requests that may wait to be confirmed; one more is refused.
+const MAX_UNCONFIRMED: usize = 2_000;
+
+/// Requests that wait for a confirmation.
+#[derive(Default)]
+pub struct Unconfirmed {
+    queue: VecDeque<Waiting>,
+    collecting_since: Option<Time>,
+    /// When the next confirmation may go out.
+    next: Time,
+}
+
+/// Requests that are being confirmed together.
+#[derive(Clone, Debug, Default)]
+pub struct Confirmation {
+    /// What must be fresh.
+    versions: BTreeMap<JobId, Version>,
+    /// How many of these, in their order, earlier transactions have confirmed.
+    confirmed: usize,
+    /// How many the transaction that is under way compares.
+    comparing: usize,
+    members: Vec<Waiting>,
+}
+
+/// What a confirmation says of a job.
+enum Standing {
+    /// It is not final, and nothing that it depends on is cancelled.
+    Fresh,
+    /// It does not exist.
+    Missing,
+    /// It is final by now.
+    Final,
+    /// What it depends on is cancelled.
+    CancelledBy(JobId),
+    /// A job has to be read again first.
+    Stale(JobId),
+}
+
+impl Core {
+    /// Confirms a request soon, with others.
+    pub(crate) fn confirm_later(&mut self, waiting: Waiting, now: Now) {
+        let unconfirmed = &mut self.reads.unconfirmed;
+        if unconfirmed.queue.len() >= MAX_UNCONFIRMED {
+            return self.refuse(waiting.req, "too many questions wait");
+        }
+        unconfirmed.collecting_since.get_or_insert(now.time);
+        unconfirmed.queue.push_back(waiting);
+    }
+
+    /// Sends confirmations that are due.
+    pub(crate) fn confirm(&mut self, now: Now) {
+        let unconfirmed = &self.reads.unconfirmed;
+        let due = (unconfirmed.collecting_since)
+            .is_some_and(|t| now.time >= unconfirmed.next.max(t + COLLECT));
+        if !due {
+            return;
+        }
+        let pause = 1.0 / (self.calls.rate() * CONFIRM_PART).max(0.1);
+        self.reads.unconfirmed.next = now.time + Span::secs(pause);
+        for _ in 0..BATCHES {
+            self.confirm_some(now);
+        }
+        let unconfirmed = &mut self.reads.unconfirmed;
+        let left = !unconfirmed.queue.is_empty();
+        unconfirmed.collecting_since = left.then_some(now.time);
+    }
+
+    /// Confirms what fits into a commit, the longest waiting first.
+    fn confirm_some(&mut self, now: Now) {
+        let most = self.limits.conditions();
+        let mut batch = Confirmation::default();
+        let waiting_now = self.reads.unconfirmed.queue.len();
+        for _ in 0..waiting_now {
+            let Some(waiting) = self.reads.unconfirmed.queue.pop_front() else {
+                break;
+            };
+            if self.is_final(waiting.job()) {
+                self.tell(waiting, now);
+                continue;
+            }
+            if now.time > waiting.since + PATIENCE {
+                self.refuse(waiting.req, "too many questions wait");
+                continue;
+            }
+            let ancestry = self.directory.ancestry_of(waiting.job());
+            if let Some(by) = ancestry.cancelled {
+                self.cancel_with(waiting, &by, now);
+                continue;
+            }
+            let mut versions = ancestry.unfinished;
+            let known = self.directory.jobs.get(waiting.job());
+            let version = known.map_or(Version(0), |k| k.version);
+            versions.insert(waiting.job().clone(), version);
+            let is_new = |id: &&JobId| !batch.versions.contains_key(*id);
+            let more = versions.keys().filter(is_new).count();
+            if !batch.members.is_empty() && batch.versions.len() + more > most {
+                self.reads.unconfirmed.queue.push_front(waiting);
+                break;
+            }
+            batch.versions.extend(versions);
+            batch.members.push(waiting);
+        }
+        if !batch.members.is_empty() {
+            self.send_confirmation(batch);
+        }
+    }
+
+    /// Sends the next transaction of a confirmation.
+    fn send_confirmation(&mut self, mut confirmation: Confirmation) {
+        let most = self.limits.conditions();
+        let left = confirmation.versions.len() - confirmation.confirmed;
+        confirmation.comparing = left.min(most);
+        let conditions = (confirmation.versions.iter())
+            .skip(confirmation.confirmed)
+            .take(confirmation.comparing)
+            .map(|(id, &version)| Condition {
+                key: job_key(id),
+                version,
+            })
+            .collect();
+        let call = StateCall::Commit(Transaction {
+            conditions,
+            changes: Vec::new(),
+        });
+        self.user_call(call, UserStep::Confirm(confirmation));
+    }
+
+    /// The answer to a transaction of a confirmation.
+    pub(crate) fn was_confirmed(
+        &mut self,
+        mut confirmation: Confirmation,
+        answer: StateAnswer,
+        now: Now,
+    ) {
+        let failed = match answer {
+            StateAnswer::Committed(_) => Vec::new(),
+            StateAnswer::Conflict(failed) if !failed.is_empty() => failed,
+            _ => {
+                for waiting in confirmation.members {
+                    self.forward_or_refuse(waiting, now);
+                }
+                return;
+            }
+        };
+        confirmation.confirmed += confirmation.comparing;
+        if failed.is_empty() && confirmation.confirmed < confirmation.versions.len() {
+            return self.send_confirmation(confirmation);
+        }
+        let failed: BTreeSet<&str> = failed.iter().filter_map(|k| k.strip_prefix(JOBS)).collect();
+        let fresh: BTreeMap<JobId, Version> = (confirmation.versions.into_iter())
+            .take(confirmation.confirmed)
+            .filter(|(id, _)| !failed.contains(id.as_str()))
+            .collect();
+        self.tell_confirmed(confirmation.members, &fresh, now);
+    }
+
+    fn tell_confirmed(
+        &mut self,
+        members: Vec<Waiting>,
+        fresh: &BTreeMap<JobId, Version>,
+        now: Now,
+    ) {
+        let mut stale: BTreeMap<JobId, Vec<Waiting>> = BTreeMap::new();
+        for waiting in members {
+            match self.standing(waiting.job(), fresh) {
+                Standing::Fresh | Standing::Final => self.tell(waiting, now),
+                Standing::Missing => self.no_such_job(waiting, now),
+                Standing::CancelledBy(by) => self.cancel_with(waiting, &by, now),
+                Standing::Stale(id) => stale.entry(id).or_default().push(waiting),
+            }
+        }
+        for (id, members) in stale {
+            let call = StateCall::Get(job_key(&id));
+            self.user_call(call, UserStep::ReadFor(id, members));
+        }
+    }
+
+    /// What is known of a job by now, given which versions were confirmed. The cache may have learned
+    /// more meanwhile; what is told is the newest that is known.
+    fn standing(&self, id: &JobId, fresh: &BTreeMap<JobId, Version>) -> Standing {
+        if self.is_final(id) {
+            return Standing::Final;
+        }
+        let ancestry = self.directory.ancestry_of(id);
+        if let Some(by) = ancestry.cancelled {
+            return Standing::CancelledBy(by);
+        }
+        match fresh.get(id) {
+            None => return Standing::Stale(id.clone()),
+            Some(Version(0)) => return Standing::Missing,
+            Some(_) => {}
+        }
+        let mut unfinished = ancestry.unfinished.into_iter();
+        match unfinished.find(|(id, version)| fresh.get(id) != Some(version)) {
+            Some((id, _)) => Standing::Stale(id),
+            None => Standing::Fresh,
+        }
+    }
+
+    /// The answer to a read of a job for all whose answers depend on it.
+    pub(crate) fn was_read_for(
+        &mut self,
+        id: JobId,
+        members: Vec<Waiting>,
+        answer: StateAnswer,
+        now: Now,
+    ) {
+        let read = match answer {
+            StateAnswer::Found(item) => match serde_json::from_value::<JobRecord>(item.value) {
+                Ok(record) => {
+                    self.directory.learn_job(id, item.version, record);
+                    true
+                }
+                Err(_) => false,
+            },
+            StateAnswer::Missing => {
+                for waiting in members {
+                    if *waiting.job() == id {
+                        self.no_such_job(waiting, now);
+                    } else {
+                        self.forward_or_refuse(waiting, now);
+                    }
+                }
+                return;
+            }
+            _ => false,
+        };
+        for waiting in members {
+            if read {
+                self.tell_read(waiting, now);
+            } else {
+                self.forward_or_refuse(waiting, now);
+            }
+        }
+    }
+}
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -11,6 +11,7 @@
 use crate::recovery::LeadStep;
 use crate::relay::Relay;
 use crate::state_calls::{StateCalls, Urgency};
+use crate::store_limits::StoreLimits;
 use crate::tree::TeamTree;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::admin::{AdminSettings, Versioned};
@@ -60,6 +61,8 @@
     /// How late the cloud's list is.
     pub(crate) list_lag: Span,
     pub(crate) election: Election,
+    /// Limits of the state service that every writer keeps to.
+    pub(crate) limits: StoreLimits,
     pub(crate) reads: Reads,
     pub(crate) cancellations: Cancellations,
     pub(crate) lead: Option<Lead>,
@@ -92,7 +95,10 @@
 /// twice as many as others. Each node's watch has a part of its own.
 fn state_rate(settings: &Settings, leads: bool) -> f64 {
     let parts = f64::from(settings.params.nodes.max(1) + 1);
-    settings.params.state.rps * CALLS_PART * if leads { 2.0 } else { 1.0 } / parts
+    StoreLimits::of(&settings.params.state).requests_per_s
+        * CALLS_PART
+        * if leads { 2.0 } else { 1.0 }
+        / parts
 }
 
 /// The part of the state service's limit that calls may use; the rest is for watches.
@@ -122,6 +128,7 @@
             list_lag: Span::secs(settings.params.cloud.list_lag_s),
             cloud: CloudCalls::new(settings.params.cloud.rps * 0.9),
             election: Election::new(settings.node.clone(), nodes, rank),
+            limits: StoreLimits::of(&settings.params.state),
             reads: Reads::default(),
             cancellations: Cancellations::default(),
             lead: None,
@@ -186,6 +193,7 @@
         self.election_calls(due);
         self.confirm(now);
         self.cancellations_tick(now);
+        self.fetch_catalog(now);
         self.relay_tick(now);
         if now.time >= self.next_beat {
             self.next_beat = now.time + BEAT;
@@ -205,6 +213,13 @@
 
     fn state_answer(&mut self, id: CallId, sent: Time, answer: StateAnswer, now: Now) {
         self.election.note_state(now.time, &answer);
+        if matches!(answer, StateAnswer::Rejected) {
+            self.limits.halve();
+            log::warn!("a transaction was rejected; from now on {:?}", self.limits);
+            if let Some(lead) = self.lead.as_mut() {
+                lead.limits = self.limits;
+            }
+        }
         match self.calls.finish(id) {
             Some(Purpose::Election(step)) => self.election_answer(step, sent, answer, now),
             Some(Purpose::Fill(first)) => self.filled(first, answer, now),
@@ -250,6 +265,7 @@
         let tree = self.tree.clone();
         let mut lead = Lead::new(&self.settings, tree, epoch, lease, sent, version, now.time);
         lead.take_up(self.tree.clone(), &self.admin_settings.settings);
+        lead.limits = self.limits;
         lead.dark_before = std::mem::take(&mut self.leader_dark);
         if let Some(catalog) = &self.catalog {
             lead.learn_catalog(catalog.clone());
@@ -394,16 +410,17 @@
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        for id in changed {
-            let Some(known) = self.directory.jobs.get_mut(&id) else {
+        for id in &changed {
+            let Some(known) = self.directory.jobs.get_mut(id) else {
                 continue;
             };
-            lead.learn_job(&id, known.version, &known.record);
+            lead.learn_job(id, known.version, &known.record);
             if known.record.state == JobState::Cancelled {
-                lead.stop_cancelled(&id, now.time);
+                lead.stop_cancelled(id, now.time);
             }
             lead.wake(now.time);
         }
+        self.refresh_dependencies(&changed, now);
     }
 
     /// A leader that no worker reaches makes way for one that they do reach.
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -213,10 +213,10 @@
         for job in self
             .jobs
             .values()
-            .filter(|j| j.is_active() && !j.evictable())
+            .filter(|j| j.is_active() && j.is_ready() && !j.evictable())
         {
             let urgent = (self.wait_aims.get(&job.spec.class)).is_some_and(|w| w.as_secs() < boot);
-            let age = Span(now.wall.0.saturating_sub(job.submitted.0));
+            let age = Span(now.wall.0.saturating_sub(job.waits_since().0));
             if !urgent || job.spec.kind != Kind::Service {
                 continue;
             }
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -176,11 +176,13 @@
     fn tasks_wanted(&self, job: &Job, now: Now) -> u32 {
         let free = job.free_tasks();
         let spec = &job.spec;
-        let aim = (spec.deadline_s).or_else(|| {
-            let aim = self.done_aims.get(&spec.class).copied();
-            aim.map(Span::as_secs)
-        });
-        let (Kind::Array, Some(aim)) = (spec.kind, aim) else {
+        let left = (job.goal.finish_by)
+            .map(|wall| now.wall.until(wall))
+            .or_else(|| {
+                let aim = *self.done_aims.get(&spec.class)?;
+                Some(now.wall.until(job.waits_since() + aim))
+            });
+        let (Kind::Array, Some(left)) = (spec.kind, left) else {
             return free;
         };
         if self.runs_cheaply(job) {
@@ -189,9 +191,8 @@
         let boot = (self.catalog.types.iter())
             .map(|t| t.boot_s)
             .fold(0.0, f64::max);
-        let age = Span(now.wall.0.saturating_sub(job.submitted.0)).as_secs();
         let each = spec.estimate_s.max(1.0);
-        let rounds = (((aim - age - boot) * USE / each).floor()).max(1.0);
+        let rounds = (((left.as_secs() - boot) * USE / each).floor()).max(1.0);
         let placed = job
             .places
             .keys()
--- /dev/null
+++ b/crates/core/src/dependencies/tests.rs
@@ -0,0 +1,203 @@
+use super::*;
+use crate::records::JobRecord;
+use crate::store_limits::StoreLimits;
+use crate::testing::job;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+/// Limits that nothing here reaches.
+const LARGE: StoreLimits = StoreLimits {
+    value_bytes: 1 << 20,
+    operations: 100,
+    requests_per_s: 100.0,
+    writes_per_s: 100.0,
+};
+
+fn id(n: usize) -> JobId {
+    format!("wk-{n}").parse().expect("a job id")
+}
+
+/// A job that names others.
+fn spec(n: usize, needs: &[usize]) -> JobSpec {
+    let mut spec = (*job(n as u32, "sweep", "red", "normal").spec).clone();
+    spec.dependencies = needs.iter().map(|&d| id(d)).collect();
+    spec
+}
+
+/// The slow plain way: everything is looked up again each time.
+#[derive(Clone, Default)]
+struct Model {
+    needs: Vec<Vec<usize>>,
+    done: BTreeSet<usize>,
+    cancelled: BTreeSet<usize>,
+}
+
+impl Model {
+    /// Whether a job is cancelled, by its own record or with what it needs.
+    fn is_cancelled(&self, n: usize) -> bool {
+        let needs = &self.needs[n];
+        !self.done.contains(&n)
+            && (self.cancelled.contains(&n) || needs.iter().any(|&d| self.is_cancelled(d)))
+    }
+
+    /// All that a job needs and that is not done.
+    fn unfinished(&self, n: usize) -> BTreeSet<usize> {
+        let open = self.needs[n].iter().filter(|d| !self.done.contains(d));
+        open.flat_map(|&d| self.unfinished(d).into_iter().chain([d]))
+            .collect()
+    }
+
+    fn is_ready(&self, n: usize) -> bool {
+        self.needs[n].iter().all(|d| self.done.contains(d))
+    }
+
+    /// The record that the state service holds.
+    fn record(&self, n: usize) -> JobRecord {
+        let spec = spec(n, &self.needs[n]);
+        let record = JobRecord::queued(&spec, Wall(n as u64));
+        if self.done.contains(&n) {
+            JobRecord::done(spec.tasks, Wall(n as u64), Wall(1_000 + n as u64))
+        } else if self.cancelled.contains(&n) {
+            record.cancelled(Wall(5), None, &LARGE)
+        } else {
+            record
+        }
+    }
+}
+
+/// What happens to jobs: each names some before it, and some are done or cancelled.
+fn histories() -> impl Strategy<Value = (Vec<Vec<usize>>, Vec<(usize, bool)>)> {
+    (2usize..14).prop_flat_map(|jobs| {
+        let needs: Vec<_> = (0..jobs)
+            .map(|n| proptest::collection::vec(0..n.max(1), 0..=n.min(4)))
+            .collect();
+        let ends = proptest::collection::vec((0..jobs, any::<bool>()), 0..12);
+        (needs, ends)
+    })
+}
+
+fn check(directory: &Directory, model: &Model) -> Result<(), TestCaseError> {
+    for n in 0..model.needs.len() {
+        if model.done.contains(&n) || model.cancelled.contains(&n) {
+            continue;
+        }
+        let found = directory.ancestry_of(&id(n));
+        prop_assert_eq!(
+            found.cancelled.is_some(),
+            model.is_cancelled(n),
+            "job {}",
+            n
+        );
+        if found.cancelled.is_none() {
+            let unfinished: BTreeSet<JobId> = found.unfinished.into_keys().collect();
+            let expected: BTreeSet<JobId> = model.unfinished(n).into_iter().map(id).collect();
+            prop_assert_eq!(unfinished, expected);
+        }
+        let needs: Vec<JobId> = model.needs[n].iter().map(|&d| id(d)).collect();
+        let readiness = directory.readiness(&needs);
+        prop_assert_eq!(readiness.unmet.is_empty(), model.is_ready(n));
+        let direct = model.needs[n].iter().any(|d| model.cancelled.contains(d));
+        prop_assert_eq!(directory.graph.condemned().any(|j| *j == id(n)), direct);
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever happens, and in whatever order the cache hears of it, it knows what the plain model
+    /// knows once it has heard of all.
+    #[test]
+    fn the_cache_knows_what_the_plain_model_knows((needs, ends) in histories(), order in any::<u64>()) {
+        let jobs = needs.len();
+        let mut needs = needs;
+        needs[0].clear();
+        let mut model = Model { needs, ..Model::default() };
+        let mut directory = Directory::default();
+        // The records are heard of in some order of their own.
+        for k in 0..jobs {
+            let n = (k * 7 + order as usize % jobs) % jobs;
+            if !directory.jobs.contains_key(&id(n)) {
+                directory.learn_job(id(n), Version(1), model.record(n));
+            }
+        }
+        for n in 0..jobs {
+            directory.learn_job(id(n), Version(1), model.record(n));
+        }
+        check(&directory, &model)?;
+        for (step, (n, cancel)) in ends.into_iter().enumerate() {
+            if model.done.contains(&n) || model.cancelled.contains(&n) {
+                continue;
+            }
+            if cancel {
+                model.cancelled.insert(n);
+            } else if model.is_ready(n) {
+                model.done.insert(n);
+            } else {
+                continue;
+            }
+            directory.learn_job(id(n), Version(2 + step as u64), model.record(n));
+            check(&directory, &model)?;
+        }
+    }
+}
+
+/// What is not known may be anything: it is confirmed as missing, which fails if it is there.
+#[test]
+fn an_unknown_dependency_counts_as_unfinished() {
+    let mut directory = Directory::default();
+    directory.learn_job(
+        id(2),
+        Version(4),
+        JobRecord::queued(&spec(2, &[1]), Wall(0)),
+    );
+    let found = directory.ancestry_of(&id(2));
+    assert_eq!(found.unfinished, BTreeMap::from([(id(1), Version(0))]));
+    assert_eq!(directory.readiness(&[id(1)]).unmet, BTreeSet::from([id(1)]));
+}
+
+/// A peer tells of a cancellation before the watch does, and without the submission.
+#[test]
+fn a_cancellation_heard_from_a_peer_condemns_dependents() {
+    let mut directory = Directory::default();
+    directory.learn_job(id(1), Version(3), JobRecord::queued(&spec(1, &[]), Wall(0)));
+    directory.learn_job(
+        id(2),
+        Version(4),
+        JobRecord::queued(&spec(2, &[1]), Wall(0)),
+    );
+    directory.learn_cancelled(&rudderreel_wire::peer::CancelledJob {
+        job: id(1).to_string(),
+        version: Version(9),
+        cancelled_ms: 7,
+        submitted_ms: 0,
+        tasks: 4,
+    });
+    assert_eq!(directory.ancestry_of(&id(2)).cancelled, Some(id(1)));
+    assert_eq!(
+        directory.graph.condemned().collect::<Vec<_>>(),
+        vec![&id(2)]
+    );
+}
+
+/// A chain of a thousand jobs and a fan of a thousand are looked at once each.
+#[test]
+fn long_chains_and_wide_fans_are_followed_once() {
+    let mut directory = Directory::default();
+    for n in 0..1_000 {
+        let needs: Vec<usize> = (n > 0).then(|| n - 1).into_iter().collect();
+        directory.learn_job(
+            id(n),
+            Version(1),
+            JobRecord::queued(&spec(n, &needs), Wall(0)),
+        );
+    }
+    let all: Vec<usize> = (0..1_000).collect();
+    directory.learn_job(
+        id(1_000),
+        Version(1),
+        JobRecord::queued(&spec(1_000, &all), Wall(0)),
+    );
+    assert_eq!(directory.ancestry_of(&id(999)).unfinished.len(), 999);
+    assert_eq!(directory.ancestry_of(&id(1_000)).unfinished.len(), 1_000);
+}
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -3,6 +3,7 @@
 //! What the cache says of a final state may be told at once. Anything else may be out of date
 //! and is confirmed with the state service first (see `reads`).
 
+use crate::dependencies::DependencyGraph;
 use crate::io::Value;
 use crate::records::{JobRecord, KnownRecord, LeaderRecord, ADMIN, CATALOG, JOBS, KNOWN, LEADER};
 use crate::units::Wall;
@@ -24,6 +25,14 @@
     pub record: JobRecord,
 }
 
+impl KnownJob {
+    /// Jobs that this one names as its dependencies, as far as the submission is kept.
+    pub fn dependencies(&self) -> &[JobId] {
+        let spec = self.record.spec.as_ref();
+        spec.map_or(&[], |spec| &spec.dependencies)
+    }
+}
+
 /// The cache.
 #[derive(Default)]
 pub struct Directory {
@@ -41,6 +50,8 @@
     pub complete: bool,
     /// Jobs that changed since the leader last looked.
     pub changed: Vec<JobId>,
+    /// Which unfinished jobs need which others.
+    pub graph: DependencyGraph,
     /// Cancelled jobs by the revisions that cancelled them.
     cancelled: BTreeMap<Version, JobId>,
     /// What other nodes have written about the cancellations that they know.
@@ -57,16 +68,19 @@
                     known.record.state == JobState::Cancelled && known.record.spec.is_none();
                 if lacks && record.spec.is_some() {
                     known.record.spec = record.spec;
+                    known.record.cancelled_by = record.cancelled_by;
                     self.changed.push(id);
                 }
                 return;
             }
         }
+        let before = (self.jobs.get(&id)).and_then(|known| known.record.spec.clone());
         if record.state == JobState::Cancelled {
             self.cancelled.insert(version, id.clone());
         }
         self.changed.push(id.clone());
-        self.jobs.insert(id, KnownJob { version, record });
+        self.jobs.insert(id.clone(), KnownJob { version, record });
+        self.update_graph(&id, before);
     }
 
     /// Takes in a cancellation that another node knows of.
@@ -78,6 +92,8 @@
             state: JobState::Cancelled,
             submitted: Wall(told.submitted_ms),
             cancelled: Some(Wall(told.cancelled_ms)),
+            cancelled_by: None,
+            finished: None,
             tasks: told.tasks,
             spec: (self.jobs.get(&id)).and_then(|known| known.record.spec.clone()),
         };
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -67,6 +67,8 @@
     Done,
     /// The `set` named a lease that has ended.
     NoSuchLease,
+    /// Not executed, and never will be as it is: too large for the service's limits.
+    Rejected,
     /// Not executed: refused for now.
     Refused,
     /// No usable answer: it may have been executed, or may yet be.
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -4,10 +4,11 @@
 use crate::records::PageId;
 use crate::task_set::TaskSet;
 use crate::units::{Resources, Span, Time, Wall};
+use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Attempt, JobId, MachineId, Version};
 use rudderreel_wire::job::{JobSpec, Kind, Priority};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Whether a job's work goes on.
@@ -23,7 +24,26 @@
 }
 
 /// Where a job stands among others.
-pub type Order = (Reverse<Priority>, bool, u64, Wall, JobId);
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Order {
+    /// The highest priority first.
+    priority: Reverse<Priority>,
+    /// What has waited too long for its first start comes before the rest.
+    in_time: bool,
+    /// When an overdue job became ready; the work that is left of another one.
+    rank: u64,
+    submitted: Wall,
+    id: JobId,
+}
+
+/// What is expected of a job for its own sake and for that of the jobs that need it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Goal {
+    /// The highest priority among them.
+    pub priority: Priority,
+    /// When it has to be done for all of them to be in time.
+    pub finish_by: Option<Wall>,
+}
 
 /// A job as the leader sees it. Done jobs are not kept.
 #[derive(Clone, Debug)]
@@ -34,6 +54,12 @@
     pub version: Version,
     /// When it was submitted.
     pub submitted: Wall,
+    /// Jobs that it depends on and that are not done.
+    pub unmet: BTreeSet<JobId>,
+    /// Since when all that it depends on is done; none while something is not.
+    pub ready_since: Option<Wall>,
+    /// What is expected of it.
+    pub goal: Goal,
     /// Whether its work goes on.
     pub stage: Stage,
     /// What one task takes.
@@ -67,8 +93,12 @@
 impl Job {
     /// A job that has just become known.
     pub fn new(spec: JobSpec, version: Version, submitted: Wall) -> Self {
+        let ready = spec.dependencies.is_empty();
         Self {
             need: Resources::of_task(&spec),
+            unmet: spec.dependencies.iter().cloned().collect(),
+            ready_since: ready.then_some(submitted),
+            goal: own_goal(&spec, submitted),
             idle: TaskSet::below(spec.tasks),
             spec: Arc::new(spec),
             version,
@@ -93,6 +123,29 @@
         self.stage == Stage::Active
     }
 
+    /// Whether all that it depends on is done. Before, it takes part in nothing.
+    pub fn is_ready(&self) -> bool {
+        self.ready_since.is_some()
+    }
+
+    /// Since when it waits for room: what it depends on does not count.
+    pub fn waits_since(&self) -> Wall {
+        self.ready_since.unwrap_or(self.submitted)
+    }
+
+    /// What is expected of it for its own sake.
+    pub fn own_goal(&self) -> Goal {
+        own_goal(&self.spec, self.submitted)
+    }
+
+    /// How long it takes once it is ready, by its owner's estimate, with its image fetched first.
+    pub fn expected_span(&self, catalog: &Catalog) -> Span {
+        let slowest = (catalog.types.iter())
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min);
+        Span::secs(self.spec.estimate_s + self.spec.image_gb / slowest.max(1e-3))
+    }
+
     /// Whether all its tasks are done.
     pub fn is_complete(&self) -> bool {
         self.spec.kind != Kind::Service && self.done.len() >= self.spec.tasks
@@ -105,13 +158,13 @@
     pub fn order(&self, overdue: bool) -> Order {
         let tasks = f64::from(self.spec.tasks.saturating_sub(self.done.len()));
         let left = (tasks * self.spec.estimate_s.max(0.0) * 1000.0) as u64;
-        (
-            Reverse(self.spec.priority),
-            !overdue,
-            if overdue { self.submitted.0 } else { left },
-            self.submitted,
-            self.spec.id.clone(),
-        )
+        Order {
+            priority: Reverse(self.goal.priority),
+            in_time: !overdue,
+            rank: if overdue { self.waits_since().0 } else { left },
+            submitted: self.submitted,
+            id: self.spec.id.clone(),
+        }
     }
 
     /// Whether it has waited too long for its first start.
@@ -119,11 +172,14 @@
         !self.begun
             && !self.is_suspected()
             && self.places.is_empty()
-            && now.0 > self.submitted.0 + patience.0
+            && now.0 > self.waits_since().0 + patience.0
     }
 
     /// How many tasks are neither done nor anywhere, and may be started.
     pub fn free_tasks(&self) -> u32 {
+        if !self.is_ready() {
+            return 0;
+        }
         let free = self.idle.len();
         let open = self.spec.tasks.saturating_sub(free + self.done.len());
         self.on_trial(free, open)
@@ -197,6 +253,14 @@
     }
 }
 
+fn own_goal(spec: &JobSpec, submitted: Wall) -> Goal {
+    let deadline = spec.deadline_s.map(Span::secs);
+    Goal {
+        priority: spec.priority,
+        finish_by: deadline.map(|span| Wall(submitted.0.saturating_add(span.0))),
+    }
+}
+
 /// Whether work is never evicted to make room: at priority 100 or above.
 pub fn is_firm(spec: &JobSpec) -> bool {
     spec.priority == Priority::Production
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -1,12 +1,13 @@
 //! What a leader holds and does: workers' reports, commands, commits of its books.
 
 use crate::admin::{Latency, StopNote};
-use crate::books::{page_bytes, Books};
+use crate::books::Books;
 use crate::capacity::Rentals;
 use crate::election::{LEASE, WORD};
 use crate::job::Job;
 use crate::possession::Machine;
 use crate::reports::DIRECT_RATE;
+use crate::store_limits::StoreLimits;
 use crate::tree::TeamTree;
 use crate::units::{Resources, Span, Time, Wall};
 use rudderreel_wire::admin::AdminSettings;
@@ -70,10 +71,10 @@
     pub wait_aims: BTreeMap<Class, Span>,
     /// The shortest time in which users want jobs of a class done.
     pub done_aims: BTreeMap<Class, Span>,
-    /// Bytes that a page of the books may have.
-    pub page_bytes: usize,
-    /// Changes that a commit may make.
-    pub page_ops: usize,
+    /// Limits of the state service that every writer keeps to.
+    pub limits: StoreLimits,
+    /// Jobs that are being cancelled with what they depend on.
+    pub cascading: BTreeSet<JobId>,
     /// What is recorded.
     pub books: Books,
     /// Whether something may wait to be recorded, so that the books are looked through only then.
@@ -177,8 +178,8 @@
             preempt_min_runtime: Span(0),
             wait_aims: aims(settings, "wait"),
             done_aims: aims(settings, "finished"),
-            page_bytes: page_bytes(settings.params.state.value_kb),
-            page_ops: settings.params.state.txn_ops.max(2),
+            limits: StoreLimits::of(&settings.params.state),
+            cascading: BTreeSet::new(),
             books: Books::default(),
             unrecorded: true,
             period: PERIOD,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,13 +2,18 @@
 //! [`Core::step`] takes an input and the time, and returns what to send, write and answer.
 #![forbid(unsafe_code)]
 
+mod acceptance;
 mod actions;
 mod admin;
 mod blame;
 mod books;
 mod cancellations;
+
 mod capacity;
+mod cascade;
+mod confirmation;
 mod demand;
+mod dependencies;
 mod directory;
 mod election;
 mod fair_share;
@@ -16,6 +21,7 @@
 mod job;
 mod lead;
 mod members;
+mod pipelines;
 mod possession;
 mod reads;
 mod records;
@@ -26,6 +32,7 @@
 mod snapshot;
 mod state_calls;
 mod statement;
+mod store_limits;
 mod task_set;
 #[cfg(test)]
 mod testing;
--- /dev/null
+++ b/crates/core/src/pipelines.rs
@@ -0,0 +1,116 @@
+//! What the leader derives from dependencies: which jobs are ready, and how urgent each is.
+//!
+//! A job is ready once all that it names is committed done. Users set priority and deadline on the
+//! last job of a pipeline; what that job needs inherits both, less the time that the jobs after it
+//! take. Only the changed edges are followed: a submission, a completion or a cancellation changes
+//! what comes before it, and of that only what is not as urgent already.
+
+use crate::core::Core;
+use crate::dependencies::{DependencyGraph, Readiness};
+use crate::job::Goal;
+use crate::lead::Lead;
+use crate::units::{Now, Span, Wall};
+use rudderreel_wire::ids::JobId;
+use std::collections::BTreeSet;
+
+impl Core {
+    /// Takes in that some jobs' records have changed.
+    pub(crate) fn refresh_dependencies(&mut self, changed: &[JobId], now: Now) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        let graph = &self.directory.graph;
+        let mut inheriting = BTreeSet::new();
+        for id in changed {
+            let touched = graph.dependents_of(id).chain([id]);
+            for id in touched {
+                let Some(job) = lead.jobs.get(id) else {
+                    continue;
+                };
+                if !job.spec.dependencies.is_empty() {
+                    let readiness = self.directory.readiness(&job.spec.dependencies);
+                    lead.note_readiness(id, readiness, now);
+                }
+            }
+            if let Some(known) = self.directory.jobs.get(id) {
+                inheriting.extend(known.dependencies().iter().cloned());
+            }
+            inheriting.insert(id.clone());
+        }
+        lead.inherit_goals(graph, inheriting);
+    }
+
+    /// The same for all jobs, after a take-over.
+    pub(crate) fn refresh_all_dependencies(&mut self, now: Now) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let dependents = lead
+            .jobs
+            .values()
+            .filter(|j| !j.spec.dependencies.is_empty());
+        let all: Vec<JobId> = dependents.map(|j| j.spec.id.clone()).collect();
+        self.refresh_dependencies(&all, now);
+    }
+}
+
+impl Lead {
+    /// Notes which dependencies of a job are not done. When the last one was done need not be
+    /// recorded; then the job counts as ready since this leader knows it.
+    fn note_readiness(&mut self, id: &JobId, readiness: Readiness, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let ready = readiness.unmet.is_empty();
+        job.unmet = readiness.unmet;
+        if ready && job.ready_since.is_none() {
+            let since = readiness.last_done.unwrap_or(now.wall);
+            job.ready_since = Some(since.max(job.submitted));
+            log::debug!("{id} is ready");
+            self.wake(now.time);
+        }
+    }
+
+    /// Passes priorities and deadlines on to what comes before, beginning with some jobs.
+    fn inherit_goals(&mut self, graph: &DependencyGraph, start: BTreeSet<JobId>) {
+        let mut open: Vec<JobId> = start.into_iter().collect();
+        while let Some(id) = open.pop() {
+            let Some(goal) = self.goal_of(graph, &id) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.goal != goal {
+                job.goal = goal;
+                open.extend(job.spec.dependencies.iter().cloned());
+            }
+        }
+    }
+
+    /// What is expected of a job for its own sake and for that of the jobs that need it.
+    fn goal_of(&self, graph: &DependencyGraph, id: &JobId) -> Option<Goal> {
+        let mut goal = self.jobs.get(id)?.own_goal();
+        let dependents = graph.dependents_of(id).filter_map(|d| self.jobs.get(d));
+        for dependent in dependents.filter(|d| d.is_active()) {
+            let after = dependent.expected_span(&self.catalog);
+            goal.priority = goal.priority.max(dependent.goal.priority);
+            goal.finish_by = earlier(goal.finish_by, before(dependent.goal.finish_by, after));
+        }
+        Some(goal)
+    }
+}
+
+fn before(moment: Option<Wall>, span: Span) -> Option<Wall> {
+    moment.map(|wall| Wall(wall.0.saturating_sub(span.0)))
+}
+
+fn earlier(a: Option<Wall>, b: Option<Wall>) -> Option<Wall> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/pipelines/tests.rs
@@ -0,0 +1,132 @@
+use super::*;
+use crate::directory::Directory;
+use crate::records::JobRecord;
+use crate::testing::{job_of, lead, NOW};
+use rudderreel_wire::ids::Version;
+use rudderreel_wire::job::{JobSpec, Priority};
+
+fn id(n: u32) -> JobId {
+    format!("wk-{n}").parse().expect("a job id")
+}
+
+fn spec(n: u32, priority: &str, needs: &[u32], due_s: Option<f64>) -> JobSpec {
+    let mut spec = (*job_of(n, "sweep", "red", priority, 1, 1.0).spec).clone();
+    spec.dependencies = needs.iter().map(|&d| id(d)).collect();
+    spec.deadline_s = due_s;
+    spec
+}
+
+/// A leader and its cache, which learn of jobs as the core has them do.
+struct Pipeline {
+    lead: Lead,
+    directory: Directory,
+}
+
+impl Pipeline {
+    fn new() -> Self {
+        let (lead, directory) = (lead(), Directory::default());
+        Self { lead, directory }
+    }
+
+    fn learn(&mut self, n: u32, version: u64, record: JobRecord) {
+        self.directory
+            .learn_job(id(n), Version(version), record.clone());
+        self.lead.learn_job(&id(n), Version(version), &record);
+        let graph = &self.directory.graph;
+        let dependents: Vec<JobId> = graph.dependents_of(&id(n)).cloned().collect();
+        for dependent in dependents.iter().chain([&id(n)]) {
+            let needs = self
+                .lead
+                .jobs
+                .get(dependent)
+                .map(|j| j.spec.dependencies.clone());
+            if let Some(needs) = needs.filter(|n| !n.is_empty()) {
+                let readiness = self.directory.readiness(&needs);
+                self.lead.note_readiness(dependent, readiness, NOW);
+            }
+        }
+        let known = &self.directory.jobs[&id(n)];
+        let start = known
+            .dependencies()
+            .iter()
+            .cloned()
+            .chain([id(n)])
+            .collect();
+        self.lead.inherit_goals(graph, start);
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        let n = spec.id.as_str()[3..].parse().expect("a number");
+        self.learn(n, 1, JobRecord::queued(&spec, NOW.wall));
+    }
+
+    fn goal(&self, n: u32) -> Goal {
+        self.lead.jobs[&id(n)].goal
+    }
+}
+
+/// What one task takes here: 4 s by its owner, and 5 s to fetch its image.
+const EACH: Span = Span(9_000);
+
+#[test]
+fn priority_and_deadline_of_the_last_job_work_back() {
+    let mut p = Pipeline::new();
+    p.submit(spec(1, "low", &[], None));
+    p.submit(spec(2, "low", &[1], None));
+    p.submit(spec(3, "normal", &[1], None));
+    assert_eq!(p.goal(1).priority, Priority::Normal);
+    p.submit(spec(4, "urgent", &[2, 3], Some(100.0)));
+    let due = NOW.wall + Span(100_000);
+    for (n, after) in [(4, 0), (3, 1), (2, 1), (1, 2)] {
+        assert_eq!(p.goal(n).priority, Priority::High, "job {n}");
+        let finish_by = Wall(due.0 - after * EACH.0);
+        assert_eq!(p.goal(n).finish_by, Some(finish_by), "job {n}");
+    }
+    // What is evictable, and what may exceed a quota, stays with a job's own priority.
+    assert!(p.lead.jobs[&id(1)].evictable());
+}
+
+#[test]
+fn a_cancelled_last_job_asks_for_nothing_any_more() {
+    let mut p = Pipeline::new();
+    p.submit(spec(1, "low", &[], None));
+    p.submit(spec(2, "urgent", &[1], Some(50.0)));
+    assert_eq!(p.goal(1).priority, Priority::High);
+    let record = JobRecord::queued(&spec(2, "urgent", &[1], Some(50.0)), NOW.wall);
+    let limits = p.lead.limits;
+    p.learn(2, 2, record.cancelled(NOW.wall, None, &limits));
+    assert_eq!(p.goal(1).priority, Priority::Low);
+    assert_eq!(p.goal(1).finish_by, None);
+}
+
+#[test]
+fn a_waiting_job_takes_part_in_nothing_until_all_it_needs_is_done() {
+    let mut p = Pipeline::new();
+    p.submit(spec(1, "low", &[], None));
+    p.submit(spec(2, "low", &[], None));
+    p.submit(spec(3, "urgent", &[1, 2], None));
+    let job = |p: &Pipeline| p.lead.jobs[&id(3)].clone();
+    assert!(!job(&p).is_ready());
+    assert_eq!(job(&p).free_tasks(), 0);
+    p.learn(1, 2, JobRecord::done(1, NOW.wall, NOW.wall + Span(3_000)));
+    assert!(!job(&p).is_ready());
+    p.learn(2, 2, JobRecord::done(1, NOW.wall, NOW.wall + Span(2_000)));
+    assert!(job(&p).is_ready());
+    assert_eq!(job(&p).free_tasks(), 1);
+    // Its age begins when the last one was done.
+    assert_eq!(job(&p).waits_since(), NOW.wall + Span(3_000));
+}
+
+/// A long chain whose last job comes late is followed once; sharing does not multiply the cost.
+#[test]
+fn a_ladder_of_shared_ancestors_is_followed_in_bounded_time() {
+    let mut p = Pipeline::new();
+    p.submit(spec(1, "low", &[], None));
+    p.submit(spec(2, "low", &[], None));
+    for n in (3..600).step_by(2) {
+        p.submit(spec(n, "low", &[n - 2, n - 1], None));
+        p.submit(spec(n + 1, "low", &[n - 2, n - 1], None));
+    }
+    p.submit(spec(1_000, "urgent", &[599, 600], Some(1_000.0)));
+    assert_eq!(p.goal(1).priority, Priority::High);
+}
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -10,6 +10,7 @@
 //! | `pub/catalog` | the leader | machine types as last fetched |
 //! | `pub/known/<node>` | that node, while links between nodes fail | which cancellations it knows |
 
+use crate::store_limits::StoreLimits;
 use crate::units::Wall;
 use rudderreel_wire::ids::{
     Attempt, Epoch, JobId, LeaseId, MachineId, NodeName, TypeName, Version, Zone,
@@ -68,6 +69,12 @@
     /// When its user withdrew it.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub cancelled: Option<Wall>,
+    /// The dependency whose cancellation cancelled it, if its user did not.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub cancelled_by: Option<JobId>,
+    /// When it was done.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub finished: Option<Wall>,
     /// How many tasks it has, kept after the submission is dropped.
     #[serde(default)]
     pub tasks: u32,
@@ -83,17 +90,37 @@
             state: JobState::Queued,
             submitted,
             cancelled: None,
+            cancelled_by: None,
+            finished: None,
             tasks: spec.tasks,
             spec: Some(spec.clone()),
         }
     }
 
+    /// The same job, cancelled by its user or with a dependency. If it no longer fits the limits of
+    /// the state service, it goes without the lists that only a job which may start needs.
+    pub fn cancelled(&self, at: Wall, by: Option<&JobId>, limits: &StoreLimits) -> Self {
+        let mut record = self.clone();
+        record.state = JobState::Cancelled;
+        record.cancelled = Some(at);
+        record.cancelled_by = by.cloned();
+        if !limits.fits(&record) {
+            if let Some(spec) = &mut record.spec {
+                spec.types = None;
+                spec.dependencies = Vec::new();
+            }
+        }
+        record
+    }
+
     /// A job whose tasks are all done.
-    pub fn done(tasks: u32, submitted: Wall) -> Self {
+    pub fn done(tasks: u32, submitted: Wall, finished: Wall) -> Self {
         Self {
             state: JobState::Done,
             submitted,
             cancelled: None,
+            cancelled_by: None,
+            finished: Some(finished),
             tasks,
             spec: None,
         }
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -35,6 +35,8 @@
     RaiseAgain(Epoch),
     /// Keep the catalog.
     Catalog,
+    /// Cancel jobs with what they depend on.
+    Cascade(Vec<(JobId, JobRecord)>),
 }
 
 /// A page that could not be read is asked for again after so long.
@@ -75,6 +77,7 @@
             LeadStep::Raise(epoch) => self.raised(epoch, answer, now),
             LeadStep::RaiseAgain(epoch) => self.raise_seen(epoch, answer, now),
             LeadStep::Catalog => {}
+            LeadStep::Cascade(jobs) => self.cascaded(jobs, answer, now),
         }
     }
 
@@ -161,6 +164,7 @@
             lead.hear(&report, now);
         }
         lead.wake(now.time);
+        self.refresh_all_dependencies(now);
     }
 
     /// Commits what has changed in the books.
@@ -172,7 +176,8 @@
             return;
         }
         self.flush_books(now);
-        self.flush_completions();
+        self.flush_completions(now);
+        self.flush_cancellations(now);
     }
 
     /// Raises the epoch if only that shows that a start will not arrive any more.
@@ -187,7 +192,7 @@
     }
 
     /// Commits that jobs are done.
-    fn flush_completions(&mut self) {
+    fn flush_completions(&mut self, now: Now) {
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
@@ -196,13 +201,13 @@
         let mut done: Vec<&mut Job> = lead.jobs.values_mut().filter(due).collect();
         let mut calls = Vec::new();
         // Many small jobs end at a time: one commit for several.
-        for jobs in done.chunks_mut(lead.page_ops.min(COMPLETIONS)) {
+        for jobs in done.chunks_mut(lead.limits.operations.min(COMPLETIONS)) {
             let mut conditions = vec![leading.clone()];
             let mut changes = Vec::new();
             for job in jobs.iter_mut() {
                 job.committing = true;
                 let key = job_key(&job.spec.id);
-                let record = JobRecord::done(job.spec.tasks, job.submitted);
+                let record = JobRecord::done(job.spec.tasks, job.submitted, now.wall);
                 conditions.push(condition(key.clone(), job.version));
                 changes.push(put(key, &record));
             }
@@ -236,7 +241,7 @@
                     if let Some(job) = lead.jobs.get_mut(&id) {
                         log::info!("{id} is done");
                         job.committing = false;
-                        let record = JobRecord::done(job.spec.tasks, job.submitted);
+                        let record = JobRecord::done(job.spec.tasks, job.submitted, now.wall);
                         lead.finish(&id);
                         self.directory.learn_job(id, version, record);
                     }
@@ -244,7 +249,7 @@
                 lead.wake(now.time);
                 Vec::new()
             }
-            StateAnswer::Refused => {
+            StateAnswer::Refused | StateAnswer::Rejected => {
                 lead.commit_again(&ids);
                 Vec::new()
             }
@@ -370,6 +375,10 @@
         let Some(lead) = &self.lead else {
             return;
         };
+        if !self.limits.fits(catalog) {
+            // What was stored before stays readable; without that, nodes ask the cloud themselves.
+            return log::warn!("the machine types are too large to be stored");
+        }
         let call = StateCall::Commit(Transaction {
             conditions: vec![lead.leading()],
             changes: vec![put(CATALOG.into(), catalog)],
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -138,10 +138,10 @@
                 let image = self.jobs.get(&task.job).map(|j| j.spec.image.clone());
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.begun = true;
-                    let waited = Span(now.wall.0.saturating_sub(job.submitted.0));
+                    let waited = Span(now.wall.0.saturating_sub(job.waits_since().0));
                     let class = job.spec.class.clone();
                     let s = waited.as_secs();
-                    log::debug!("{task} of {class} runs on {machine}, {s} s after submission");
+                    log::debug!("{task} of {class} runs on {machine}, {s} s after it was ready");
                     self.waits.entry(class).or_default().note(waited);
                 }
                 self.count("started");
--- /dev/null
+++ b/crates/core/src/store_limits.rs
@@ -0,0 +1,72 @@
+//! Limits of the state service that every writer keeps to.
+//!
+//! The settings may announce limits that come into force at some later moment without notice. The
+//! smaller of both is used from the start, so that nothing that is written becomes unwritable. If a
+//! transaction is rejected as too large all the same, the limits are halved: what was rejected is
+//! never sent again unchanged.
+
+use rudderreel_wire::settings::StateLimits;
+use serde::Serialize;
+
+/// Bytes of a KiB.
+const KIB: f64 = 1024.0;
+/// Conditions that a transaction may have for each change that it may make, by the protocol.
+const CONDITIONS_PER_OPERATION: usize = 4;
+/// The leader's part of the writes.
+const PLACEMENT_PART: f64 = 0.7;
+/// A transaction needs room for the leader's key and one more.
+const LEAST_OPERATIONS: usize = 2;
+/// Values are never split below this size: the smallest record has to fit.
+const LEAST_VALUE_BYTES: usize = 256;
+
+/// Limits of the state service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StoreLimits {
+    /// Bytes that a value may have as JSON.
+    pub value_bytes: usize,
+    /// Puts and deletes of a transaction.
+    pub operations: usize,
+    /// Requests per second of all nodes together.
+    pub requests_per_s: f64,
+    /// Puts and deletes per second of all nodes together.
+    pub writes_per_s: f64,
+}
+
+impl StoreLimits {
+    /// The smaller of the present and the announced limits.
+    pub fn of(state: &StateLimits) -> Self {
+        let next = state.next.clone().unwrap_or_default();
+        let smaller = |present: f64, next: Option<f64>| next.map_or(present, |n| n.min(present));
+        let operations = next.txn_ops.unwrap_or(state.txn_ops).min(state.txn_ops);
+        Self {
+            value_bytes: (smaller(state.value_kb, next.value_kb) * KIB) as usize,
+            operations: operations.max(LEAST_OPERATIONS),
+            requests_per_s: smaller(state.rps, next.rps),
+            writes_per_s: smaller(state.write_rps, next.write_rps),
+        }
+    }
+
+    /// Puts and deletes per second that the leader may make for placements; the rest is for users.
+    pub fn placement_writes(&self) -> f64 {
+        self.writes_per_s * PLACEMENT_PART
+    }
+
+    /// Conditions of a transaction.
+    pub fn conditions(&self) -> usize {
+        CONDITIONS_PER_OPERATION * self.operations
+    }
+
+    /// Whether a value is small enough to be stored.
+    pub fn fits<T: Serialize>(&self, value: &T) -> bool {
+        serde_json::to_vec(value).is_ok_and(|json| json.len() <= self.value_bytes)
+    }
+
+    /// A transaction within these limits was rejected: they are lower than was known.
+    pub fn halve(&mut self) {
+        self.value_bytes = (self.value_bytes / 2).max(LEAST_VALUE_BYTES);
+        self.operations = (self.operations / 2).max(LEAST_OPERATIONS);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -41,6 +41,20 @@
     }
 }
 
+impl Wall {
+    /// How long it is until a later moment; nothing if that is over.
+    pub fn until(self, later: Self) -> Span {
+        Span(later.0.saturating_sub(self.0))
+    }
+}
+
+impl std::ops::Add<Span> for Wall {
+    type Output = Wall;
+    fn add(self, span: Span) -> Wall {
+        Wall(self.0.saturating_add(span.0))
+    }
+}
+
 impl std::ops::Add<Span> for Time {
     type Output = Time;
     fn add(self, span: Span) -> Time {
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -1,7 +1,8 @@
 //! What users send and receive.
 
 use crate::ids::{Class, Image, JobId, Team, TypeName, Zone};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use std::collections::HashSet;
 
 /// How a job's tasks belong together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -95,6 +96,22 @@
     /// When the job should be complete, from its submission.
     #[serde(rename = "dueS", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts, each named once.
+    #[serde(
+        rename = "awaits",
+        default,
+        deserialize_with = "distinct_ids",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub dependencies: Vec<JobId>,
+}
+
+/// Reads a list of job ids that may be null, and drops repeated ids. The order is kept.
+fn distinct_ids<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobId>, D::Error> {
+    let mut ids = Option::<Vec<JobId>>::deserialize(deserializer)?.unwrap_or_default();
+    let mut seen = HashSet::new();
+    ids.retain(|id| seen.insert(id.clone()));
+    Ok(ids)
 }
 
 /// The largest number of tasks a job may have.
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -147,6 +147,26 @@
     pub value_kb: f64,
     /// Puts and deletes per transaction.
     pub txn_ops: usize,
+    /// Limits that may come into force at any moment.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Announced limits of the state service. What is missing stays as it is.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests per second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Puts and deletes per second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// KiB per value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Puts and deletes per transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
 }
 
 /// Limits of the cloud.
@@ -200,6 +220,7 @@
                 return Err(bad(name, "must be a number above 0"));
             }
         }
+        self.check_next_limits()?;
         if !(p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0) {
             return Err(bad("params.cloud.list_lag_s", "must not be negative"));
         }
@@ -220,6 +241,27 @@
         self.check_teams()
     }
 
+    fn check_next_limits(&self) -> Result<(), BadSettings> {
+        let Some(next) = &self.params.state.next else {
+            return Ok(());
+        };
+        let positive = [
+            ("params.state.next.rps", next.rps),
+            ("params.state.next.write_rps", next.write_rps),
+            ("params.state.next.value_kb", next.value_kb),
+            (
+                "params.state.next.txn_ops",
+                next.txn_ops.map(|operations| operations as f64),
+            ),
+        ];
+        for (name, value) in positive {
+            if value.is_some_and(|value| !(value.is_finite() && value > 0.0)) {
+                return Err(bad(name, "must be a number above 0"));
+            }
+        }
+        Ok(())
+    }
+
     fn check_teams(&self) -> Result<(), BadSettings> {
         for (i, team) in self.params.teams.iter().enumerate() {
             let field = |name: &str| format!("params.teams[{i}].{name}");
