--- a/crates/controller/src/clients/tests.rs
+++ b/crates/controller/src/clients/tests.rs
@@ -27,6 +27,11 @@
             ));
         }
     }
+    // A lease that has ended is told from a transaction that is too large.
+    let ended = state_answer(&calls[2], 400, b"{\"error\":\"no such lease\"}");
+    assert!(matches!(ended, StateAnswer::NoSuchLease));
+    let large = state_answer(&calls[2], 400, b"{\"error\":\"value too large\"}");
+    assert!(matches!(large, StateAnswer::Rejected));
     let conflict = state_answer(&calls[2], 409, b"<html>");
     assert!(matches!(conflict, StateAnswer::Unknown));
     assert!(!is_full(b"no capacity") && is_full(b"{\"error\":\"no capacity\"}"));
--- a/crates/controller/src/requests/tests.rs
+++ b/crates/controller/src/requests/tests.rs
@@ -30,6 +30,42 @@
     assert_eq!(spec.deadline_s, Some(900.0));
 }
 
+#[test]
+fn dependencies_are_a_list_of_job_ids() {
+    let with = |awaits: Value| {
+        let mut job = good();
+        job["awaits"] = awaits;
+        job.to_string()
+    };
+    let malformed = [
+        json!("wk-1"),
+        json!(["wk-1", 2]),
+        json!([["wk-1"]]),
+        json!(["wk-x"]),
+        json!([""]),
+        json!([null]),
+        json!({"0": "wk-1"}),
+        json!(true),
+    ];
+    for awaits in malformed {
+        assert_eq!(submit(&with(awaits.clone())), 400, "{awaits}");
+    }
+    let cases = [
+        (Value::Null, 0),
+        (json!([]), 0),
+        (json!(["wk-2", "wk-1"]), 2),
+        (json!(["wk-1", "wk-2", "wk-1"]), 2),
+    ];
+    for (awaits, count) in cases {
+        let text = with(awaits);
+        let read = front("POST", "/v1/jobs", Some(text.as_bytes()));
+        let Ok(Incoming::User(UserRequest::Submit(spec))) = read else {
+            panic!("{text} was not read");
+        };
+        assert_eq!(spec.dependencies.len(), count, "{text}");
+    }
+}
+
 #[test]
 fn what_is_malformed_gets_400() {
     for text in [
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -196,3 +196,6 @@
     #[serde(rename = "p", skip_serializing_if = "Vec::is_empty", default)]
     pub tasks: Vec<(JobId, Attempt, Vec<u32>)>,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/records/tests.rs
@@ -0,0 +1,116 @@
+//! Records as the version in production writes and reads them: during a rolling upgrade both versions
+//! work on each other's.
+
+use super::*;
+use serde::de::DeserializeOwned;
+use serde_json::{json, Value};
+
+const LIMITS: StoreLimits = StoreLimits {
+    value_bytes: 2_048,
+    operations: 6,
+    requests_per_s: 250.0,
+    writes_per_s: 18.0,
+};
+
+fn submission() -> Value {
+    json!({"id":"wk-000412","reel":"train","crew":"vision","rig":"gang","precedence":"urgent",
+        "takes":16,"vcpus":8.0,"gpus":1.0,"memoryGb":64.0,"pressing":"img-07","pullGb":6.2,
+        "hulls":["g8"],"berth":null,"together":true,"scatter":false,"driftwood":true,
+        "expectedS":240.0,"snapshotS":30.0,"stowS":4.0,"dueS":900.0})
+}
+
+fn with_dependencies() -> JobSpec {
+    let mut value = submission();
+    value["awaits"] = json!(["wk-000398", "wk-000405"]);
+    serde_json::from_value(value).expect("a job")
+}
+
+/// What production wrote is read, and written again without a change.
+fn round<T: DeserializeOwned + Serialize>(recorded: Value) -> T {
+    let read: T = serde_json::from_value(recorded.clone()).expect("it is read");
+    assert_eq!(
+        serde_json::to_value(&read).expect("it is written"),
+        recorded
+    );
+    read
+}
+
+#[test]
+fn records_of_production_are_read_and_written_unchanged() {
+    round::<JobRecord>(
+        json!({"state":"pending","submitted":1790000000000u64,"tasks":16,
+        "spec":submission()}),
+    );
+    round::<JobRecord>(json!({"state":"aborted","submitted":1790000000000u64,
+        "cancelled":1790000009000u64,"tasks":16,"spec":submission()}));
+    round::<JobRecord>(json!({"state":"done","submitted":1790000000000u64,"tasks":16}));
+    round::<LeaderRecord>(json!({"node":"deckhand-1","epoch":41,"lease":7}));
+    round::<EpochRecord>(json!({"epoch":41}));
+    round::<KnownRecord>(json!({"known_to":412,"asks":0}));
+    round::<PageRecord>(
+        json!({"m":[{"n":"vm-000231","t":"heron","z":"qu-appelle","s":true,
+        "w":1790000000000u64,"p":[["wk-000412",687865857,[0,1,7]]]}],
+        "d":[["wk-000398",[[0,3],[9,9]]]],"f":[["wk-000398",4]]}),
+    );
+    round::<PageRecord>(json!({}));
+}
+
+/// The job record as production declares it.
+#[derive(Deserialize)]
+struct ProductionRecord {
+    state: JobState,
+    submitted: Wall,
+    #[serde(default)]
+    cancelled: Option<Wall>,
+    #[serde(default)]
+    tasks: u32,
+    #[serde(default)]
+    spec: Option<Value>,
+}
+
+#[test]
+fn production_reads_what_is_written_now() {
+    let read = |record: &JobRecord| -> ProductionRecord {
+        let value = serde_json::to_value(record).expect("JSON");
+        serde_json::from_value(value).expect("production reads it")
+    };
+    let queued = JobRecord::queued(&with_dependencies(), Wall(5));
+    assert_eq!(read(&queued).state, JobState::Queued);
+    assert_eq!(read(&queued).tasks, 16);
+    let by: JobId = "wk-000398".parse().expect("an id");
+    let cancelled = read(&queued.cancelled(Wall(9), Some(&by), &LIMITS));
+    assert_eq!(
+        (cancelled.state, cancelled.cancelled),
+        (JobState::Cancelled, Some(Wall(9)))
+    );
+    assert!(cancelled.spec.is_some());
+    let done = read(&JobRecord::done(16, Wall(5), Wall(8)));
+    assert_eq!(
+        (done.state, done.submitted, done.tasks),
+        (JobState::Done, Wall(5), 16)
+    );
+}
+
+/// Without dependencies a submission is stored and forwarded as production does it, to the letter.
+#[test]
+fn a_job_without_dependencies_is_written_as_before() {
+    let spec: JobSpec = round(submission());
+    assert!(spec.dependencies.is_empty());
+    let mut value = submission();
+    value["awaits"] = Value::Null;
+    let spec: JobSpec = serde_json::from_value(value).expect("null is allowed");
+    assert_eq!(serde_json::to_value(&spec).expect("JSON"), submission());
+}
+
+/// A job that was accepted under larger limits can be cancelled under smaller ones.
+#[test]
+fn a_cancellation_always_fits() {
+    let mut spec = with_dependencies();
+    let ids = (0..1_000).map(|n| format!("wk-{n}").parse().expect("an id"));
+    spec.dependencies = ids.collect();
+    let queued = JobRecord::queued(&spec, Wall(5));
+    assert!(!LIMITS.fits(&queued));
+    let cancelled = queued.cancelled(Wall(9), None, &LIMITS);
+    assert!(LIMITS.fits(&cancelled));
+    assert_eq!(cancelled.spec.expect("a submission").tasks, 16);
+}
--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -44,7 +44,10 @@
 #[test]
 fn pipelines_keep_the_rules_whatever_fails() {
     let cancelled: usize = (0..8).map(|n| play(900 + n, plan(3))).sum();
-    assert!(cancelled > 10, "{cancelled} jobs were cancelled with others");
+    assert!(
+        cancelled > 10,
+        "{cancelled} jobs were cancelled with others"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/crates/wire/tests/peer_compatibility.rs
@@ -0,0 +1,135 @@
+//! Peer messages as the version in production (`deploy/service.toml`) encodes them. During a rolling
+//! upgrade both versions exchange them, so their bytes must not change. What has to differ some day
+//! goes to a path of its own, which older nodes answer with 404.
+
+use bitcode::{Decode, Encode};
+use rudderreel_wire::ids::{Epoch, Version};
+use rudderreel_wire::peer::{
+    Announcement, AnnouncementReply, CancelledJob, Catchup, Count, Forward, Forwarded, Heartbeat,
+    HeartbeatReply, PassedAnswer, PassedReport, PassedTasks, Reports, ReportsReply,
+};
+use std::fmt::Debug;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits = |i: usize| u8::from_str_radix(&hex[i..i + 2], 16).expect("hex digits");
+    (0..hex.len()).step_by(2).map(digits).collect()
+}
+
+/// A message encodes to what production recorded, and production's bytes decode to the message.
+fn check<T: Encode + for<'a> Decode<'a> + Debug>(message: &T, recorded: &str) {
+    assert_eq!(hex(&bitcode::encode(message)), recorded, "{message:?}");
+    let decoded: T = bitcode::decode(&bytes(recorded)).expect("it decodes");
+    assert_eq!(format!("{decoded:?}"), format!("{message:?}"));
+}
+
+fn cancelled() -> CancelledJob {
+    CancelledJob {
+        job: "wk-000398".into(),
+        version: Version(412),
+        cancelled_ms: 1_790_000_000_123,
+        submitted_ms: 1_789_999_990_000,
+        tasks: 40,
+    }
+}
+
+#[test]
+fn heartbeats() {
+    let beat = Heartbeat {
+        from: "deckhand-1".into(),
+        epoch: Epoch(41),
+        leads: true,
+        state_ok: false,
+        asks_word: true,
+        machines: 798,
+        workers: 160,
+        passes: true,
+        worker_silence_ms: 1_250,
+        dark: vec![("qu-appelle".into(), 9_000)],
+        counts: Some(vec![Count {
+            job: "wk-000405".into(),
+            done: 3,
+            running: 13,
+        }]),
+        known_to: Version(433),
+    };
+    check(&beat, "0a6465636b68616e642d310629010001021e0304a00104e204010a71752d617070656c6c65042823010109776b2d3030303430350403040d04b101");
+    let reply = HeartbeatReply {
+        from: "deckhand-2".into(),
+        epoch: Epoch(41),
+        state_ok: false,
+        word: true,
+        worker_silence_ms: 300,
+        known_to: Version(431),
+        catchup: Some(Catchup {
+            known_to: Version(431),
+            cancelled: vec![cancelled()],
+        }),
+    };
+    check(&reply, "0a6465636b68616e642d3206290001042c0104af010104af010109776b2d303030333938049c01007b6c50c4a001000000f04450c4a00100000428");
+}
+
+#[test]
+fn announcements() {
+    let announcement = Announcement {
+        from: "deckhand-0".into(),
+        known_to: Version(411),
+        cancelled: vec![cancelled()],
+    };
+    check(&announcement, "0a6465636b68616e642d30049b010109776b2d303030333938049c01007b6c50c4a001000000f04450c4a00100000428");
+    let reply = AnnouncementReply {
+        known_to: Version(412),
+    };
+    check(&reply, "049c01");
+}
+
+#[test]
+fn forwarded_requests() {
+    check(
+        &Forward::Submit("{\"id\":\"wk-1\"}".into()),
+        "000d7b226964223a22776b2d31227d",
+    );
+    check(&Forward::Status("wk-1".into()), "0104776b2d31");
+    check(&Forward::Withdraw("wk-1".into()), "0204776b2d31");
+    check(
+        &Forward::Admin("/admin/stops".into()),
+        "030c2f61646d696e2f73746f7073",
+    );
+    let answer = Forwarded {
+        status: 200,
+        body: "{}".into(),
+    };
+    check(&answer, "c800027b7d");
+}
+
+#[test]
+fn reports_that_are_passed_on() {
+    let report = |tasks: PassedTasks| PassedReport {
+        machine: "vm-000231".into(),
+        session: 1,
+        seq: 88,
+        token: 41,
+        notice_s: Some(19.5),
+        tasks,
+    };
+    let reports = Reports {
+        reports: vec![
+            report(PassedTasks::AsIn(87)),
+            report(PassedTasks::Whole("{\"takes\":[]}".into())),
+        ],
+    };
+    check(&reports, "020909766d2d303030323331766d2d3030303233310601010658580629290300000000000080334000000000008033400206570c7b2274616b6573223a5b5d7d");
+    let reply = ReportsReply {
+        token: Some(Epoch(41)),
+        answers: vec![
+            PassedAnswer::Answered(Some("[]".into())),
+            PassedAnswer::Answered(None),
+            PassedAnswer::Whole,
+            PassedAnswer::Refused,
+        ],
+    };
+    check(&reply, "010629043f01025b5d");
+}
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -64,6 +64,40 @@
 gang_wait_s = 35.0\ngang_peer_s = 4.0\ncancel_s = 37.0\n[params.state]\nrps = 250.0
 write_rps = 25.0\nvalue_kb = 32.0\ntxn_ops = 20\n[params.cloud]\nrps = 4.0\nlist_lag_s = 10.0\n";
 
+#[test]
+fn limits_announced_by_the_state_service_are_read() {
+    let without = Settings::parse(SETTINGS).expect("good settings");
+    assert!(without.params.state.next.is_none());
+    let with = |next: &str| {
+        let next = format!("[params.state.next]\n{next}\n[params.cloud]");
+        Settings::parse(&SETTINGS.replacen("[params.cloud]", &next, 1))
+    };
+    let limits = with("write_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 6\nfuture = \"x\"");
+    let next = limits.expect("good settings").params.state.next;
+    let next = next.expect("announced limits");
+    assert_eq!((next.write_rps, next.value_kb), (Some(18.0), Some(2.0)));
+    assert_eq!((next.txn_ops, next.rps), (Some(6), None));
+    assert!(with("")
+        .expect("none is missing")
+        .params
+        .state
+        .next
+        .is_some());
+    for (line, named) in [
+        ("write_rps = 0.0", "params.state.next.write_rps"),
+        ("value_kb = -1.0", "params.state.next.value_kb"),
+        ("txn_ops = 0", "params.state.next.txn_ops"),
+        ("rps = inf", "params.state.next.rps"),
+        ("txn_ops = 1.5", "txn_ops"),
+    ] {
+        let message = with(line).expect_err(line).to_string();
+        assert!(
+            message.contains(named) || message.contains("expected"),
+            "{message}"
+        );
+    }
+}
+
 #[test]
 fn settings_are_read_and_mistakes_are_named() {
     let good = Settings::parse(SETTINGS).expect("good settings");
