--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -295,8 +295,12 @@
         world.store.set_down(true, world.now);
         world.run_until(world.now + 40_000);
         world.store.set_down(false, world.now);
-        // The world fails the test if any is called queued now.
+        // The world fails the test if any is called queued now, or is accepted as queued.
         for node in 0..nodes {
+            let n = 100 + node as u32;
+            let spec = step(n, &[1, 5]);
+            world.add_job(spec.clone());
+            world.user_asks(node, &spec.id, Asked::Submit);
             for id in &ids {
                 world.user_asks(node, id, Asked::Status);
             }
