--- a/crates/core/src/acceptance.rs
+++ b/crates/core/src/acceptance.rs
@@ -8,9 +8,9 @@
 use crate::core::Core;
 use crate::dependencies::Ancestry;
 use crate::io::{error_body, json, StateAnswer, StateCall, UserRequest};
-use crate::reads::{UserStep, Waiting, PATIENCE};
 use crate::records::{job_key, JobRecord, JOBS};
 use crate::units::{Now, Resources};
+use crate::user_requests::{UserStep, Waiting, PATIENCE};
 use rudderreel_wire::ids::{JobId, Version};
 use rudderreel_wire::job::{JobAnswer, JobSpec, JobState, Kind};
 use rudderreel_wire::state::{Change, Condition, Transaction};
@@ -110,7 +110,7 @@
             return Err(NeverRuns::DependsOnItself);
         }
         let is_service = |id: &JobId| {
-            let known = self.directory.jobs.get(id);
+            let known = self.job_cache.jobs.get(id);
             let spec = known.and_then(|k| k.record.spec.as_ref());
             spec.is_some_and(|s| s.kind == Kind::Service)
         };
@@ -128,7 +128,7 @@
     fn without_done(&self, spec: &JobSpec) -> JobSpec {
         let mut spec = spec.clone();
         let done = |id: &JobId| {
-            let known = self.directory.jobs.get(id);
+            let known = self.job_cache.jobs.get(id);
             known.is_some_and(|k| k.record.state == JobState::Done)
         };
         spec.dependencies.retain(|id| !done(id));
@@ -140,7 +140,7 @@
         let UserRequest::Submit(spec) = &waiting.request else {
             return;
         };
-        let known = |id: &&JobId| self.directory.jobs.contains_key(*id);
+        let known = |id: &&JobId| self.job_cache.jobs.contains_key(*id);
         if let Some(unknown) = spec.dependencies.iter().find(|id| !known(id)) {
             let unknown = unknown.clone();
             return self.read_dependency(waiting, unknown);
@@ -149,7 +149,7 @@
         let Ancestry {
             cancelled,
             mut unfinished,
-        } = self.directory.ancestry(&spec.dependencies);
+        } = self.job_cache.ancestry(&spec.dependencies);
         let mut record = JobRecord::queued(&self.without_done(spec), now.wall);
         if let Some(by) = &cancelled {
             record = record.cancelled(now.wall, Some(by), &self.limits);
@@ -182,10 +182,10 @@
                 let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else {
                     return self.refuse(waiting.req, "unreadable record");
                 };
-                self.directory.learn_job(id, item.version, record);
+                self.job_cache.learn_job(id, item.version, record);
             }
             // It was read before what the cache has learned since.
-            StateAnswer::Missing if self.directory.jobs.contains_key(&id) => {}
+            StateAnswer::Missing if self.job_cache.jobs.contains_key(&id) => {}
             StateAnswer::Missing => {
                 let text = format!("the job depends on {id}, which was never accepted");
                 return self.answer(waiting.req, 422, error_body(&text));
@@ -209,9 +209,9 @@
         match answer {
             StateAnswer::Committed(version) => {
                 let id = waiting.job().clone();
-                self.directory.learn_job(id.clone(), version, job.record);
+                self.job_cache.learn_job(id.clone(), version, job.record);
                 // Another node may have read it and cancelled it meanwhile, or what it depends on.
-                let cancelled = self.directory.ancestry_of(&id).cancelled;
+                let cancelled = self.job_cache.ancestry_of(&id).cancelled;
                 if self.is_final(&id) || !job.confirmed || cancelled.is_some() {
                     return self.tell_read(waiting, now);
                 }
--- a/crates/core/src/actions/consolidate.rs
+++ b/crates/core/src/actions/consolidate.rs
@@ -8,7 +8,7 @@
 use super::evict::{Eviction, Scenario};
 use super::fit;
 use crate::lead::Lead;
-use crate::possession::{Entry, Phase};
+use crate::placement_tracking::{Entry, Phase};
 use crate::snapshot::Snapshot;
 use crate::statement::Statement;
 use crate::units::{Resources, Span};
--- a/crates/core/src/actions/evict.rs
+++ b/crates/core/src/actions/evict.rs
@@ -9,7 +9,7 @@
 use super::fit;
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Entry, Machine, Phase};
+use crate::placement_tracking::{Entry, Machine, Phase};
 use crate::snapshot::{add, Snapshot};
 use crate::statement::{Placement, Statement};
 use crate::tree::{amounts, Amounts, KINDS};
--- a/crates/core/src/actions/reclaim_gang.rs
+++ b/crates/core/src/actions/reclaim_gang.rs
@@ -10,7 +10,7 @@
 use super::fit;
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Entry, Phase};
+use crate::placement_tracking::{Entry, Phase};
 use crate::snapshot::Snapshot;
 use crate::statement::{Placement, Statement};
 use crate::tree::{amounts, KINDS};
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -5,7 +5,7 @@
 use crate::io::{error_body, json, Output, ReqId, StateAnswer, StateCall};
 use crate::job::{Job, Stage};
 use crate::lead::Lead;
-use crate::possession::Phase;
+use crate::placement_tracking::Phase;
 use crate::records::ADMIN;
 use crate::snapshot::Snapshot;
 use crate::state_calls::Urgency;
@@ -139,12 +139,12 @@
     }
 
     fn ask_leader(&mut self, req: ReqId, request: &AdminRequest, local: bool, now: Now) {
-        let leader = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
+        let leader = self.job_cache.leader.as_ref().map(|(_, r)| r.node.clone());
         match leader {
             Some(leader) if local && self.peers.contains_key(&leader) => {
                 let forward = Forward::Admin(request.path());
                 self.out.push(Output::Forward(leader, req, forward));
-                self.reads.admin_forwarded.insert(req, now.time);
+                self.user_requests.admin_forwarded.insert(req, now.time);
             }
             _ => self.refuse(req, "no leader is known"),
         }
@@ -217,7 +217,7 @@
     }
 
     fn overview(&self, now: Now) -> Value {
-        let leader = self.directory.leader.as_ref().map(|(_, r)| r);
+        let leader = self.job_cache.leader.as_ref().map(|(_, r)| r);
         let lead = self.lead.as_ref();
         json!({
             "node": self.settings.node,
@@ -225,12 +225,12 @@
             "epoch": leader.map(|r| r.epoch),
             "leads": lead.is_some(),
             "state_service_answers": self.election.state_ok(now.time),
-            "jobs_known": self.directory.jobs.len(),
+            "jobs_known": self.job_cache.jobs.len(),
             "jobs_unfinished": lead.map(|l| l.jobs.len()),
             "machines": lead.map(|l| l.machines.len()),
-            "pages": lead.map(|l| l.books.len()),
+            "pages": lead.map(|l| l.placement_log.len()),
             "counters": lead.map(|l| &l.counters),
-            "answers_ms": self.reads.latency.summary(),
+            "answers_ms": self.user_requests.latency.summary(),
             "start_waits_ms": lead.map(|l| {
                 (l.waits.iter())
                     .map(|(class, waits)| (class.to_string(), waits.summary()))
@@ -241,7 +241,7 @@
 
     fn explain(&self, lead: &Lead, id: &JobId, now: Now) -> (u16, Value) {
         let Some(job) = lead.jobs.get(id) else {
-            return match self.directory.jobs.get(id) {
+            return match self.job_cache.jobs.get(id) {
                 Some(known) => (
                     200,
                     json!({
@@ -273,7 +273,7 @@
             "team": job.spec.team,
             "cancelled": job.stage != Stage::Active,
             "waits_for": job.unmet.iter().take(MOST_LISTED).collect::<Vec<_>>(),
-            "needed_by": (self.directory.graph.dependents_of(id))
+            "needed_by": (self.job_cache.graph.dependents_of(id))
                 .take(MOST_LISTED)
                 .collect::<Vec<_>>(),
             "priority": job.goal.priority,
--- a/crates/core/src/anticipation.rs
+++ b/crates/core/src/anticipation.rs
@@ -6,7 +6,7 @@
 
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::Entry;
+use crate::placement_tracking::Entry;
 use crate::units::{Now, Span, Time};
 
 /// What has run longer than its owner thought will run for this part of that time more.
--- a/crates/core/src/cancellations.rs
+++ b/crates/core/src/cancellations.rs
@@ -14,11 +14,11 @@
 use crate::core::{Core, Purpose};
 use crate::io::{Output, ReqId, StateCall};
 use crate::job::Job;
-use crate::reads::Waiting;
 use crate::records::{KnownRecord, KNOWN};
 use crate::recovery::put;
 use crate::state_calls::Urgency;
 use crate::units::{Now, Span, Time};
+use crate::user_requests::Waiting;
 use rudderreel_wire::ids::{JobId, NodeName, Version};
 use rudderreel_wire::peer::{
     Announcement, AnnouncementReply, CancelledJob, Catchup, Heartbeat, HeartbeatReply,
@@ -99,7 +99,7 @@
     }
 
     /// Whether this node leads and surely no task of a cancelled job is anywhere. Every start stands in
-    /// the books that it has read back, and nobody may start more.
+    /// the placement log that it has read back, and nobody may start more.
     fn nothing_is_left(&self, id: &JobId, now: Now) -> bool {
         let nothing = |job: &Job| !job.is_active() && job.places.is_empty();
         self.lead.as_ref().is_some_and(|lead| {
@@ -141,7 +141,7 @@
     /// Answers what may be answered now, and refuses what has waited too long.
     fn tell_waiting(&mut self, now: Now) {
         for (waiting, since) in std::mem::take(&mut self.cancellations.waiting) {
-            let Some(known) = self.directory.jobs.get(waiting.job()) else {
+            let Some(known) = self.job_cache.jobs.get(waiting.job()) else {
                 continue;
             };
             let (version, waited) = (known.version, now.time - since);
@@ -159,7 +159,7 @@
 
     /// What is due: answers, announcements, and what is written if those fail.
     pub(crate) fn cancellations_tick(&mut self, now: Now) {
-        let written = std::mem::take(&mut self.directory.known);
+        let written = std::mem::take(&mut self.job_cache.known);
         for (node, record) in &written {
             self.cancellations.heard(node, record.known_to);
         }
@@ -236,7 +236,7 @@
                 continue;
             }
             let cancelled = (ids.iter())
-                .filter_map(|id| self.directory.cancellation(id, c.spread[id].version))
+                .filter_map(|id| self.job_cache.cancellation(id, c.spread[id].version))
                 .collect();
             let announcement = Announcement {
                 from: self.settings.node.to_string(),
@@ -267,7 +267,7 @@
 
     fn learn_cancelled(&mut self, told: &[CancelledJob]) {
         for job in told {
-            self.directory.learn_cancelled(job);
+            self.job_cache.learn_cancelled(job);
         }
     }
 
@@ -316,7 +316,7 @@
         if !beat.asks_word || beat.known_to == Version(0) {
             return None;
         }
-        let cancelled = self.directory.cancelled_after(beat.known_to, MOST);
+        let cancelled = self.job_cache.cancelled_after(beat.known_to, MOST);
         let whole = cancelled.len() < MOST;
         // Beyond what its watch has come to this node knows only some, and none of them may be left out.
         let mut known_to = self.cancellations.known_to;
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use crate::io::{CallId, CloudAnswer, CloudCall, Output};
 use crate::lead::Lead;
-use crate::possession::Machine;
+use crate::placement_tracking::Machine;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::cloud::{ListedMachine, ListedState, MachineNames, Rent};
 use rudderreel_wire::ids::{Attempt, Epoch, JobId, MachineId, TypeName, Zone};
@@ -322,7 +322,7 @@
     /// A follower that has waited in vain for the stored machine types asks the cloud itself: they may
     /// be too large to be stored.
     pub(crate) fn fetch_catalog(&mut self, now: Now) {
-        if self.lead.is_some() || self.catalog.is_some() || !self.directory.complete {
+        if self.lead.is_some() || self.catalog.is_some() || !self.job_cache.complete {
             return;
         }
         let cloud = &mut self.cloud;
--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -32,7 +32,11 @@
             let Some(lead) = self.lead.as_mut() else {
                 return;
             };
-            if !(lead.books).take(jobs.len() as f64, lead.limits.placement_writes(), now.time) {
+            if !(lead.placement_log).take(
+                jobs.len() as f64,
+                lead.limits.placement_writes(),
+                now.time,
+            ) {
                 return;
             }
             let mut conditions = vec![lead.leading()];
@@ -57,14 +61,14 @@
             return Vec::new();
         };
         let cancelled = |id: &&JobId| {
-            let known = self.directory.jobs.get(*id);
+            let known = self.job_cache.jobs.get(*id);
             known.is_some_and(|k| k.record.state == JobState::Cancelled)
         };
-        let mut due: Vec<Condemned> = (self.directory.graph.condemned())
+        let mut due: Vec<Condemned> = (self.job_cache.graph.condemned())
             .filter(|id| !lead.cascading.contains(id))
             .take(MOST)
             .filter_map(|id| {
-                let known = self.directory.jobs.get(id)?;
+                let known = self.job_cache.jobs.get(id)?;
                 let by = known.dependencies().iter().find(cancelled)?;
                 Some(Condemned {
                     id: id.clone(),
@@ -97,7 +101,7 @@
             StateAnswer::Committed(version) => {
                 for (id, record) in jobs {
                     log::info!("{id} is cancelled with {:?}", record.cancelled_by);
-                    self.directory.learn_job(id, version, record);
+                    self.job_cache.learn_job(id, version, record);
                 }
                 if let Some(lead) = self.lead.as_mut() {
                     lead.wake(now.time);
@@ -112,7 +116,7 @@
         }
     }
 
-    /// Reads what jobs' keys hold after a commit that failed.
+    /// UserRequests what jobs' keys hold after a commit that failed.
     fn read_jobs(&mut self, ids: impl Iterator<Item = JobId>) {
         for id in ids {
             let call = StateCall::Get(job_key(&id));
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -3,7 +3,7 @@
 use crate::actions;
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Entry, Machine, Phase};
+use crate::placement_tracking::{Entry, Machine, Phase};
 use crate::units::{Resources, Span, Time};
 use rudderreel_wire::ids::{MachineId, Zone};
 use rudderreel_wire::worker::Command;
--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -8,9 +8,9 @@
 
 use crate::core::Core;
 use crate::io::{StateAnswer, StateCall};
-use crate::reads::{UserStep, Waiting, PATIENCE};
 use crate::records::{job_key, JobRecord, JOBS};
 use crate::units::{Now, Span, Time};
+use crate::user_requests::{UserStep, Waiting, PATIENCE};
 use rudderreel_wire::ids::{JobId, Version};
 use rudderreel_wire::state::{Condition, Transaction};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -63,7 +63,7 @@
 impl Core {
     /// Confirms a request soon, with others.
     pub(crate) fn confirm_later(&mut self, waiting: Waiting, now: Now) {
-        let unconfirmed = &mut self.reads.unconfirmed;
+        let unconfirmed = &mut self.user_requests.unconfirmed;
         if unconfirmed.queue.len() >= MAX_UNCONFIRMED {
             return self.refuse(waiting.req, "too many questions wait");
         }
@@ -73,18 +73,18 @@
 
     /// Sends confirmations that are due.
     pub(crate) fn confirm(&mut self, now: Now) {
-        let unconfirmed = &self.reads.unconfirmed;
+        let unconfirmed = &self.user_requests.unconfirmed;
         let due = (unconfirmed.collecting_since)
             .is_some_and(|t| now.time >= unconfirmed.next.max(t + COLLECT));
         if !due {
             return;
         }
         let pause = 1.0 / (self.calls.rate() * CONFIRM_PART).max(0.1);
-        self.reads.unconfirmed.next = now.time + Span::secs(pause);
+        self.user_requests.unconfirmed.next = now.time + Span::secs(pause);
         for _ in 0..BATCHES {
             self.confirm_some(now);
         }
-        let unconfirmed = &mut self.reads.unconfirmed;
+        let unconfirmed = &mut self.user_requests.unconfirmed;
         let left = !unconfirmed.queue.is_empty();
         unconfirmed.collecting_since = left.then_some(now.time);
     }
@@ -93,9 +93,9 @@
     fn confirm_some(&mut self, now: Now) {
         let most = self.limits.conditions();
         let mut batch = Confirmation::default();
-        let waiting_now = self.reads.unconfirmed.queue.len();
+        let waiting_now = self.user_requests.unconfirmed.queue.len();
         for _ in 0..waiting_now {
-            let Some(waiting) = self.reads.unconfirmed.queue.pop_front() else {
+            let Some(waiting) = self.user_requests.unconfirmed.queue.pop_front() else {
                 break;
             };
             if self.is_final(waiting.job()) {
@@ -106,19 +106,19 @@
                 self.refuse(waiting.req, "too many questions wait");
                 continue;
             }
-            let ancestry = self.directory.ancestry_of(waiting.job());
+            let ancestry = self.job_cache.ancestry_of(waiting.job());
             if let Some(by) = ancestry.cancelled {
                 self.cancel_with(waiting, &by, now);
                 continue;
             }
             let mut versions = ancestry.unfinished;
-            let known = self.directory.jobs.get(waiting.job());
+            let known = self.job_cache.jobs.get(waiting.job());
             let version = known.map_or(Version(0), |k| k.version);
             versions.insert(waiting.job().clone(), version);
             let is_new = |id: &&JobId| !batch.versions.contains_key(*id);
             let more = versions.keys().filter(is_new).count();
             if !batch.members.is_empty() && batch.versions.len() + more > most {
-                self.reads.unconfirmed.queue.push_front(waiting);
+                self.user_requests.unconfirmed.queue.push_front(waiting);
                 break;
             }
             batch.versions.extend(versions);
@@ -205,7 +205,7 @@
         if self.is_final(id) {
             return Standing::Final;
         }
-        let ancestry = self.directory.ancestry_of(id);
+        let ancestry = self.job_cache.ancestry_of(id);
         if let Some(by) = ancestry.cancelled {
             return Standing::CancelledBy(by);
         }
@@ -232,7 +232,7 @@
         let read = match answer {
             StateAnswer::Found(item) => match serde_json::from_value::<JobRecord>(item.value) {
                 Ok(record) => {
-                    self.directory.learn_job(id, item.version, record);
+                    self.job_cache.learn_job(id, item.version, record);
                     true
                 }
                 Err(_) => false,
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -2,18 +2,18 @@
 
 use crate::cancellations::Cancellations;
 use crate::capacity::CloudCalls;
-use crate::directory::Directory;
 use crate::election::{Election, Step, Verdict};
 use crate::io::{show, CallId, Input, Output, ReqId, StateAnswer, StateCall, Value};
+use crate::job_cache::JobCache;
 use crate::lead::Lead;
-use crate::reads::{Reads, UserStep};
 use crate::records::{LEADER, SHARED};
 use crate::recovery::LeadStep;
-use crate::relay::Relay;
+use crate::report_forwarding::ReportForwarding;
 use crate::state_calls::{StateCalls, Urgency};
 use crate::store_limits::StoreLimits;
 use crate::tree::TeamTree;
 use crate::units::{Now, Span, Time};
+use crate::user_requests::{UserRequests, UserStep};
 use rudderreel_wire::admin::{AdminSettings, Versioned};
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version, Zone};
@@ -55,7 +55,7 @@
     pub(crate) platform_tree: TeamTree,
     pub(crate) admin_settings: Versioned,
     pub(crate) catalog: Option<Catalog>,
-    pub(crate) directory: Directory,
+    pub(crate) job_cache: JobCache,
     pub(crate) calls: StateCalls<Purpose>,
     pub(crate) cloud: CloudCalls,
     /// How late the cloud's list is.
@@ -63,10 +63,10 @@
     pub(crate) election: Election,
     /// Limits of the state service that every writer keeps to.
     pub(crate) limits: StoreLimits,
-    pub(crate) reads: Reads,
+    pub(crate) user_requests: UserRequests,
     pub(crate) cancellations: Cancellations,
     pub(crate) lead: Option<Lead>,
-    pub(crate) relay: Relay,
+    pub(crate) forwarding: ReportForwarding,
     /// Machines that the leader said it knows.
     pub(crate) leader_machines: u32,
     /// Zones that the leader said are cut off, and since when.
@@ -77,7 +77,7 @@
     next_fill: Time,
     pub(crate) next_beat: Time,
     pub(crate) beats: u64,
-    next_books: Time,
+    next_review: Time,
     pub(crate) last_report: Option<Time>,
     /// Since when workers have reached other nodes all the time.
     pub(crate) reached_others: Option<Time>,
@@ -86,12 +86,12 @@
 
 /// How often nodes tell one another how they are.
 const BEAT: Span = Span(500);
-/// How often the leader looks through its books.
-const BOOKS: Span = Span(100);
+/// How often the leader looks through its machines and jobs.
+const PLACEMENTS: Span = Span(100);
 /// A leader that no worker reaches for so long, while workers reach others, steps down.
 const CUT_OFF: Span = Span(5_000);
 
-/// How many calls a second a node may make to the state service: the leader, which keeps the books,
+/// How many calls a second a node may make to the state service: the leader, which keeps the placement log,
 /// twice as many as others. Each node's watch has a part of its own.
 fn state_rate(settings: &Settings, leads: bool) -> f64 {
     let parts = f64::from(settings.params.nodes.max(1) + 1);
@@ -123,16 +123,16 @@
                 settings: AdminSettings::default(),
             },
             catalog: None,
-            directory: Directory::default(),
+            job_cache: JobCache::default(),
             calls: StateCalls::new(state_rate(&settings, false)),
             list_lag: Span::secs(settings.params.cloud.list_lag_s),
             cloud: CloudCalls::new(settings.params.cloud.rps * 0.9),
             election: Election::new(settings.node.clone(), nodes, rank),
             limits: StoreLimits::of(&settings.params.state),
-            reads: Reads::default(),
+            user_requests: UserRequests::default(),
             cancellations: Cancellations::default(),
             lead: None,
-            relay: Relay::default(),
+            forwarding: ReportForwarding::default(),
             leader_machines: 0,
             leader_dark: BTreeMap::new(),
             peers,
@@ -141,7 +141,7 @@
             next_fill: Time(0),
             next_beat: Time(0),
             beats: 0,
-            next_books: Time(0),
+            next_review: Time(0),
             last_report: None,
             reached_others: None,
             out: Vec::new(),
@@ -170,7 +170,7 @@
             Input::WatchLost => {
                 // Until it has been read again, the cache may miss changes: the tick sees to it
                 // that this is tried until it works.
-                self.directory.complete = false;
+                self.job_cache.complete = false;
                 self.fill();
             }
             Input::Cloud(id, answer) => self.cloud_answer(id, answer, now),
@@ -184,17 +184,17 @@
     }
 
     fn tick(&mut self, now: Now) {
-        if !self.directory.complete && !self.filling && now.time >= self.next_fill {
+        if !self.job_cache.complete && !self.filling && now.time >= self.next_fill {
             self.fill();
         }
-        let leader = self.directory.leader.as_ref().map(|(_, r)| r);
+        let leader = self.job_cache.leader.as_ref().map(|(_, r)| r);
         let mine = self.lead.as_ref().map(|l| l.lease_id);
         let due = self.election.tick(now.time, leader, mine);
         self.election_calls(due);
         self.confirm(now);
         self.cancellations_tick(now);
         self.fetch_catalog(now);
-        self.relay_tick(now);
+        self.forwarding_tick(now);
         if now.time >= self.next_beat {
             self.next_beat = now.time + BEAT;
             self.beat(now);
@@ -248,9 +248,9 @@
         match verdict {
             Verdict::Nothing => {}
             Verdict::Leader(record) => {
-                let revision = record.as_ref().map_or(self.directory.leader_seen, |r| r.0);
-                if revision >= self.directory.leader_seen {
-                    self.directory.learn_leader(revision, record);
+                let revision = record.as_ref().map_or(self.job_cache.leader_seen, |r| r.0);
+                if revision >= self.job_cache.leader_seen {
+                    self.job_cache.learn_leader(revision, record);
                 }
             }
             Verdict::Won(epoch, lease, since, version) => {
@@ -288,14 +288,14 @@
             self.calls.set_rate(state_rate(&self.settings, false));
             self.cloud.clear();
             let gone =
-                (self.directory.leader.as_ref()).is_some_and(|(_, r)| r.lease == lead.lease_id);
+                (self.job_cache.leader.as_ref()).is_some_and(|(_, r)| r.lease == lead.lease_id);
             if gone {
-                self.directory.leader = None;
+                self.job_cache.leader = None;
             }
         }
     }
 
-    /// Reads everything that is watched, from the start.
+    /// UserRequests everything that is watched, from the start.
     fn fill(&mut self) {
         self.filling = true;
         let call = StateCall::List(SHARED.into(), None);
@@ -318,7 +318,7 @@
             return;
         }
         self.filling = false;
-        self.directory.complete = true;
+        self.job_cache.complete = true;
         self.knows_to(first);
         self.out.push(Output::Watch(first));
     }
@@ -327,17 +327,17 @@
         let mut has_leader = false;
         for item in &page.items {
             has_leader |= item.key == LEADER;
-            self.directory.learn(&item.key, item.version, &item.value);
+            self.job_cache.learn(&item.key, item.version, &item.value);
         }
-        if !has_leader && !page.more && first >= self.directory.leader_seen {
-            self.directory.learn_leader(first, None);
+        if !has_leader && !page.more && first >= self.job_cache.leader_seen {
+            self.job_cache.learn_leader(first, None);
         }
         self.take_learned(now);
     }
 
     fn watched(&mut self, revision: Version, events: Vec<Event<Value>>, now: Now) {
         for event in &events {
-            self.directory.learn_event(event);
+            self.job_cache.learn_event(event);
         }
         self.take_learned(now);
         self.knows_to(revision);
@@ -345,13 +345,13 @@
     }
 
     fn take_learned(&mut self, now: Now) {
-        if let Some(catalog) = self.directory.catalog.take() {
+        if let Some(catalog) = self.job_cache.catalog.take() {
             self.catalog.get_or_insert(catalog);
         }
-        if let Some((version, settings)) = self.directory.admin.take() {
+        if let Some((version, settings)) = self.job_cache.admin.take() {
             self.take_up(version, settings);
         }
-        if let Some((_, record)) = &self.directory.leader {
+        if let Some((_, record)) = &self.job_cache.leader {
             self.election.hear_epoch(record.epoch, now.time);
         }
     }
@@ -368,9 +368,9 @@
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        if lead.ready && now.time >= self.next_books {
+        if lead.ready && now.time >= self.next_review {
             // Looking through a large fleet takes longer, so it is done less often.
-            self.next_books = now.time + Span(BOOKS.0 + lead.machines.len() as u64 / 12);
+            self.next_review = now.time + Span(PLACEMENTS.0 + lead.machines.len() as u64 / 12);
             lead.find_dark_zones(now.time);
             lead.end_cancelled(now);
             lead.drain(now.time);
@@ -406,12 +406,12 @@
     }
 
     fn learn_changed(&mut self, now: Now) {
-        let changed = std::mem::take(&mut self.directory.changed);
+        let changed = std::mem::take(&mut self.job_cache.changed);
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
         for id in &changed {
-            let Some(known) = self.directory.jobs.get_mut(id) else {
+            let Some(known) = self.job_cache.jobs.get_mut(id) else {
                 continue;
             };
             lead.learn_job(id, known.version, &known.record);
--- a/crates/core/src/cycle.rs
+++ b/crates/core/src/cycle.rs
@@ -3,7 +3,7 @@
 use crate::actions;
 use crate::job::{Job, Stage};
 use crate::lead::{Lead, Reserve, LATELY, STALLED};
-use crate::possession::{Entry, Machine, Phase, Stop};
+use crate::placement_tracking::{Entry, Machine, Phase, Stop};
 use crate::snapshot::Snapshot;
 use crate::statement::Placement;
 use crate::units::{Now, Resources, Span, Time, Wall};
@@ -375,7 +375,7 @@
     // Heard is not commanded: one that leaves calls unanswered may never get the stop.
     let silent = silent || m.unanswered > 1;
     let in_good_time = past > Span(cancel.0 / 2) && led > silence && silent;
-    // What was to be gone before this leader came was seen to by the one before; the books may still
+    // What was to be gone before this leader came was seen to by the one before; the log may still
     // name it. A worker of a node that has ended takes a while to find another.
     let stale = past > cancel + led;
     let at_last = past + AT_LAST > cancel && led > silence;
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -5,7 +5,7 @@
 use crate::capacity::Offer;
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::Machine;
+use crate::placement_tracking::Machine;
 use crate::snapshot::{is_bound, within, Snapshot, Spot};
 use crate::tree::{amounts, Amounts};
 use crate::units::{Now, Resources, Span, Time};
--- a/crates/core/src/dependencies.rs
+++ b/crates/core/src/dependencies.rs
@@ -6,7 +6,7 @@
 //! does so for all, and a node that is asked about such a job before it answers. A cache that is out
 //! of date knows less of what is done or cancelled, and only waits.
 
-use crate::directory::Directory;
+use crate::job_cache::JobCache;
 use crate::units::Wall;
 use rudderreel_wire::ids::{JobId, Version};
 use rudderreel_wire::job::{JobSpec, JobState};
@@ -65,7 +65,7 @@
     }
 }
 
-impl Directory {
+impl JobCache {
     /// Keeps the graph after a job's record has changed. `before` is the submission as it was known.
     pub(crate) fn update_graph(&mut self, id: &JobId, before: Option<JobSpec>) {
         let Some(known) = self.jobs.get(id) else {
--- a/crates/core/src/dependencies/tests.rs
+++ b/crates/core/src/dependencies/tests.rs
@@ -76,12 +76,12 @@
     })
 }
 
-fn check(directory: &Directory, model: &Model) -> Result<(), TestCaseError> {
+fn check(job_cache: &JobCache, model: &Model) -> Result<(), TestCaseError> {
     for n in 0..model.needs.len() {
         if model.done.contains(&n) || model.cancelled.contains(&n) {
             continue;
         }
-        let found = directory.ancestry_of(&id(n));
+        let found = job_cache.ancestry_of(&id(n));
         prop_assert_eq!(
             found.cancelled.is_some(),
             model.is_cancelled(n),
@@ -94,10 +94,10 @@
             prop_assert_eq!(unfinished, expected);
         }
         let needs: Vec<JobId> = model.needs[n].iter().map(|&d| id(d)).collect();
-        let readiness = directory.readiness(&needs);
+        let readiness = job_cache.readiness(&needs);
         prop_assert_eq!(readiness.unmet.is_empty(), model.is_ready(n));
         let direct = model.needs[n].iter().any(|d| model.cancelled.contains(d));
-        prop_assert_eq!(directory.graph.condemned().any(|j| *j == id(n)), direct);
+        prop_assert_eq!(job_cache.graph.condemned().any(|j| *j == id(n)), direct);
     }
     Ok(())
 }
@@ -113,18 +113,18 @@
         let mut needs = needs;
         needs[0].clear();
         let mut model = Model { needs, ..Model::default() };
-        let mut directory = Directory::default();
+        let mut job_cache = JobCache::default();
         // The records are heard of in some order of their own.
         for k in 0..jobs {
             let n = (k * 7 + order as usize % jobs) % jobs;
-            if !directory.jobs.contains_key(&id(n)) {
-                directory.learn_job(id(n), Version(1), model.record(n));
+            if !job_cache.jobs.contains_key(&id(n)) {
+                job_cache.learn_job(id(n), Version(1), model.record(n));
             }
         }
         for n in 0..jobs {
-            directory.learn_job(id(n), Version(1), model.record(n));
+            job_cache.learn_job(id(n), Version(1), model.record(n));
         }
-        check(&directory, &model)?;
+        check(&job_cache, &model)?;
         for (step, (n, cancel)) in ends.into_iter().enumerate() {
             if model.done.contains(&n) || model.cancelled.contains(&n) {
                 continue;
@@ -136,8 +136,8 @@
             } else {
                 continue;
             }
-            directory.learn_job(id(n), Version(2 + step as u64), model.record(n));
-            check(&directory, &model)?;
+            job_cache.learn_job(id(n), Version(2 + step as u64), model.record(n));
+            check(&job_cache, &model)?;
         }
     }
 }
@@ -145,37 +145,37 @@
 /// What is not known may be anything: it is confirmed as missing, which fails if it is there.
 #[test]
 fn an_unknown_dependency_counts_as_unfinished() {
-    let mut directory = Directory::default();
-    directory.learn_job(
+    let mut job_cache = JobCache::default();
+    job_cache.learn_job(
         id(2),
         Version(4),
         JobRecord::queued(&spec(2, &[1]), Wall(0)),
     );
-    let found = directory.ancestry_of(&id(2));
+    let found = job_cache.ancestry_of(&id(2));
     assert_eq!(found.unfinished, BTreeMap::from([(id(1), Version(0))]));
-    assert_eq!(directory.readiness(&[id(1)]).unmet, BTreeSet::from([id(1)]));
+    assert_eq!(job_cache.readiness(&[id(1)]).unmet, BTreeSet::from([id(1)]));
 }
 
 /// A peer tells of a cancellation before the watch does, and without the submission.
 #[test]
 fn a_cancellation_heard_from_a_peer_condemns_dependents() {
-    let mut directory = Directory::default();
-    directory.learn_job(id(1), Version(3), JobRecord::queued(&spec(1, &[]), Wall(0)));
-    directory.learn_job(
+    let mut job_cache = JobCache::default();
+    job_cache.learn_job(id(1), Version(3), JobRecord::queued(&spec(1, &[]), Wall(0)));
+    job_cache.learn_job(
         id(2),
         Version(4),
         JobRecord::queued(&spec(2, &[1]), Wall(0)),
     );
-    directory.learn_cancelled(&rudderreel_wire::peer::CancelledJob {
+    job_cache.learn_cancelled(&rudderreel_wire::peer::CancelledJob {
         job: id(1).to_string(),
         version: Version(9),
         cancelled_ms: 7,
         submitted_ms: 0,
         tasks: 4,
     });
-    assert_eq!(directory.ancestry_of(&id(2)).cancelled, Some(id(1)));
+    assert_eq!(job_cache.ancestry_of(&id(2)).cancelled, Some(id(1)));
     assert_eq!(
-        directory.graph.condemned().collect::<Vec<_>>(),
+        job_cache.graph.condemned().collect::<Vec<_>>(),
         vec![&id(2)]
     );
 }
@@ -183,21 +183,21 @@
 /// A chain of a thousand jobs and a fan of a thousand are looked at once each.
 #[test]
 fn long_chains_and_wide_fans_are_followed_once() {
-    let mut directory = Directory::default();
+    let mut job_cache = JobCache::default();
     for n in 0..1_000 {
         let needs: Vec<usize> = (n > 0).then(|| n - 1).into_iter().collect();
-        directory.learn_job(
+        job_cache.learn_job(
             id(n),
             Version(1),
             JobRecord::queued(&spec(n, &needs), Wall(0)),
         );
     }
     let all: Vec<usize> = (0..1_000).collect();
-    directory.learn_job(
+    job_cache.learn_job(
         id(1_000),
         Version(1),
         JobRecord::queued(&spec(1_000, &all), Wall(0)),
     );
-    assert_eq!(directory.ancestry_of(&id(999)).unfinished.len(), 999);
-    assert_eq!(directory.ancestry_of(&id(1_000)).unfinished.len(), 1_000);
+    assert_eq!(job_cache.ancestry_of(&id(999)).unfinished.len(), 999);
+    assert_eq!(job_cache.ancestry_of(&id(1_000)).unfinished.len(), 1_000);
 }
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/failure_detection.rs
@@ -7,7 +7,7 @@
 
 use crate::job::is_firm;
 use crate::lead::Lead;
-use crate::possession::{Entry, Machine};
+use crate::placement_tracking::{Entry, Machine};
 use crate::units::{Span, Time};
 use rudderreel_wire::ids::{MachineId, Zone};
 use std::collections::BTreeMap;
--- a/crates/core/src/blame.rs
+++ b/crates/core/src/fault_attribution.rs
@@ -9,7 +9,7 @@
 
 use crate::job::{Job, Stage};
 use crate::lead::Lead;
-use crate::possession::{Machine, Phase};
+use crate::placement_tracking::{Machine, Phase};
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{Attempt, JobId, MachineId, TaskId};
 use rudderreel_wire::job::Kind;
@@ -108,7 +108,7 @@
         self.blamed.len() >= JOBS
     }
 
-    fn blame(&mut self, job: &JobId, sound: bool, now: Time) {
+    fn note_failure(&mut self, job: &JobId, sound: bool, now: Time) {
         self.blamed.retain(|(_, at)| now - *at < KEPT);
         if self.blamed.len() < MOST && !self.blamed.iter().any(|(j, _)| j == job) {
             self.blamed.push((job.clone(), now));
@@ -177,7 +177,7 @@
         if !suspected {
             let sound = job.failures.proven;
             if let Some(m) = self.machines.get_mut(machine) {
-                m.blame(&task.job, sound, now.time);
+                m.note_failure(&task.job, sound, now.time);
             }
         } else if !was {
             self.suspect(&task.job, now.time);
@@ -208,7 +208,7 @@
         let mut planned = Vec::new();
         for machine in self.machines.values_mut() {
             machine.absolve(id, now);
-            let waits = |e: &&crate::possession::Entry| {
+            let waits = |e: &&crate::placement_tracking::Entry| {
                 e.task.job == *id && e.phase == Phase::Planned && !e.is_recorded()
             };
             planned.extend(
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -1,6 +1,6 @@
 //! A job as the leader sees it.
 
-use crate::blame::Failures;
+use crate::fault_attribution::Failures;
 use crate::records::PageId;
 use crate::task_set::TaskSet;
 use crate::units::{Resources, Span, Time, Wall};
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/job_cache.rs
@@ -35,7 +35,7 @@
 
 /// The cache.
 #[derive(Default)]
-pub struct Directory {
+pub struct JobCache {
     /// Jobs by id.
     pub jobs: BTreeMap<JobId, KnownJob>,
     /// The leader's key, with its version.
@@ -58,7 +58,7 @@
     pub known: BTreeMap<NodeName, KnownRecord>,
 }
 
-impl Directory {
+impl JobCache {
     /// Takes in a job's record if it is newer. A record never leaves a final state.
     pub fn learn_job(&mut self, id: JobId, version: Version, record: JobRecord) {
         if let Some(known) = self.jobs.get_mut(&id) {
@@ -188,7 +188,7 @@
 }
 
 impl LeaderRecord {
-    /// Reads a record, if it is one.
+    /// UserRequests a record, if it is one.
     pub fn deserialize_from(value: &Value) -> Option<Self> {
         serde_json::from_value(value.clone()).ok()
     }
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -1,11 +1,11 @@
-//! What a leader holds and does: workers' reports, commands, commits of its books.
+//! What a leader holds and does: workers' reports, commands, commits of its placement log.
 
 use crate::admin::{Latency, StopNote};
-use crate::books::Books;
 use crate::capacity::Rentals;
 use crate::election::{LEASE, WORD};
 use crate::job::Job;
-use crate::possession::Machine;
+use crate::placement_log::PlacementLog;
+use crate::placement_tracking::Machine;
 use crate::reports::DIRECT_RATE;
 use crate::store_limits::StoreLimits;
 use crate::tree::TeamTree;
@@ -76,8 +76,8 @@
     /// Jobs that are being cancelled with what they depend on.
     pub cascading: BTreeSet<JobId>,
     /// What is recorded.
-    pub books: Books,
-    /// Whether something may wait to be recorded, so that the books are looked through only then.
+    pub placement_log: PlacementLog,
+    /// Whether something may wait to be recorded, so that the log is looked through only then.
     pub unrecorded: bool,
     /// Seconds between cycles when nothing calls for one sooner.
     pub period: Span,
@@ -180,7 +180,7 @@
             done_aims: aims(settings, "finished"),
             limits: StoreLimits::of(&settings.params.state),
             cascading: BTreeSet::new(),
-            books: Books::default(),
+            placement_log: PlacementLog::default(),
             unrecorded: true,
             period: PERIOD,
             keep_idle: Span(20_000),
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -36,7 +36,7 @@
             state_ok: self.election.state_ok(now.time),
             asks_word: self.lead.is_some() || self.election.would_care(now.time),
             machines: self.lead.as_ref().map_or(0, Lead::fleet_size),
-            workers: self.relay.workers(now.time, self.report_interval()),
+            workers: self.forwarding.workers(now.time, self.report_interval()),
             passes: self.lead.is_some() || self.near_leader(now.time).is_some(),
             worker_silence_ms: self.worker_silence(now.time).0,
             dark: (self.lead.iter().flat_map(|l| &l.dark))
@@ -149,7 +149,7 @@
 
     fn note_load(&mut self, beat: &Heartbeat) {
         let name = NodeName::from(beat.from.as_str());
-        self.relay.sent.remove(&name);
+        self.forwarding.sent.remove(&name);
         if let Some(peer) = self.peers.get_mut(&name) {
             peer.leads = beat.leads;
             peer.epoch = beat.epoch;
--- a/crates/core/src/pipelines.rs
+++ b/crates/core/src/pipelines.rs
@@ -19,7 +19,7 @@
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        let graph = &self.directory.graph;
+        let graph = &self.job_cache.graph;
         let mut inheriting = BTreeSet::new();
         for id in changed {
             let touched = graph.dependents_of(id).chain([id]);
@@ -28,11 +28,11 @@
                     continue;
                 };
                 if !job.spec.dependencies.is_empty() {
-                    let readiness = self.directory.readiness(&job.spec.dependencies);
+                    let readiness = self.job_cache.readiness(&job.spec.dependencies);
                     lead.note_readiness(id, readiness, now);
                 }
             }
-            if let Some(known) = self.directory.jobs.get(id) {
+            if let Some(known) = self.job_cache.jobs.get(id) {
                 inheriting.extend(known.dependencies().iter().cloned());
             }
             inheriting.insert(id.clone());
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::directory::Directory;
+use crate::job_cache::JobCache;
 use crate::records::JobRecord;
 use crate::testing::{job_of, lead, NOW};
 use rudderreel_wire::ids::Version;
@@ -19,20 +19,20 @@
 /// A leader and its cache, which learn of jobs as the core has them do.
 struct Pipeline {
     lead: Lead,
-    directory: Directory,
+    job_cache: JobCache,
 }
 
 impl Pipeline {
     fn new() -> Self {
-        let (lead, directory) = (lead(), Directory::default());
-        Self { lead, directory }
+        let (lead, job_cache) = (lead(), JobCache::default());
+        Self { lead, job_cache }
     }
 
     fn learn(&mut self, n: u32, version: u64, record: JobRecord) {
-        self.directory
+        self.job_cache
             .learn_job(id(n), Version(version), record.clone());
         self.lead.learn_job(&id(n), Version(version), &record);
-        let graph = &self.directory.graph;
+        let graph = &self.job_cache.graph;
         let dependents: Vec<JobId> = graph.dependents_of(&id(n)).cloned().collect();
         for dependent in dependents.iter().chain([&id(n)]) {
             let needs = self
@@ -41,11 +41,11 @@
                 .get(dependent)
                 .map(|j| j.spec.dependencies.clone());
             if let Some(needs) = needs.filter(|n| !n.is_empty()) {
-                let readiness = self.directory.readiness(&needs);
+                let readiness = self.job_cache.readiness(&needs);
                 self.lead.note_readiness(dependent, readiness, NOW);
             }
         }
-        let known = &self.directory.jobs[&id(n)];
+        let known = &self.job_cache.jobs[&id(n)];
         let start = known
             .dependencies()
             .iter()
--- a/crates/core/src/books.rs
+++ b/crates/core/src/placement_log.rs
@@ -1,4 +1,4 @@
-//! The leader's books: which tasks may be where, and which are done, in pages.
+//! The leader's placement log: which tasks may be where, and which are done, in pages.
 //!
 //! A change counts against the state service's limit whatever its size, so what was decided at one
 //! time goes on one new page, for all machines and jobs together. A page is written once. It is
@@ -13,7 +13,7 @@
 use crate::io::{StateAnswer, StateCall};
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Entry, Machine, Phase};
+use crate::placement_tracking::{Entry, Machine, Phase};
 use crate::records::{page_key, MachineLine, PageId, PageRecord, LEADER};
 use crate::recovery::{condition, put, LeadStep};
 use crate::store_limits::StoreLimits;
@@ -50,7 +50,7 @@
 
 /// The pages.
 #[derive(Default)]
-pub struct Books {
+pub struct PlacementLog {
     named: u64,
     /// Pages that exist.
     pages: BTreeSet<PageId>,
@@ -85,7 +85,7 @@
     ((limits.value_bytes as f64 * FILL) as usize).min(PAGE_BYTES)
 }
 
-impl Books {
+impl PlacementLog {
     /// A page that was read back.
     pub fn learn(&mut self, page: PageId) {
         self.pages.insert(page);
@@ -250,9 +250,9 @@
 
 impl Lead {
     fn next_page(&mut self) -> PageId {
-        self.books.named += 1;
+        self.placement_log.named += 1;
         // The epoch is never given out twice, so neither is a page.
-        PageId((self.epoch.0 << 24) + self.books.named)
+        PageId((self.epoch.0 << 24) + self.placement_log.named)
     }
 
     /// Puts what is not recorded yet on a page, what can't wait first.
@@ -289,7 +289,7 @@
     /// How much on each page still holds.
     fn weigh_pages(&self) -> BTreeMap<PageId, usize> {
         let mut weight: BTreeMap<PageId, usize> =
-            self.books.pages.iter().map(|p| (*p, 0)).collect();
+            self.placement_log.pages.iter().map(|p| (*p, 0)).collect();
         let mut add = |page: PageId, n: usize| {
             if let Some(w) = weight.get_mut(&page) {
                 *w += n;
@@ -311,7 +311,7 @@
     /// Finds pages that nothing holds on any more, and picks those to be written together.
     fn tidy_up(&mut self) -> Vec<PageId> {
         let weight = self.weigh_pages();
-        let busy = |p: &PageId| self.books.dead.contains(p);
+        let busy = |p: &PageId| self.placement_log.dead.contains(p);
         let dead: Vec<PageId> = (weight.iter())
             .filter(|(p, w)| **w == 0 && !busy(p))
             .map(|(p, _)| *p)
@@ -320,8 +320,8 @@
             .filter(|(p, w)| **w > 0 && !busy(p))
             .map(|(p, w)| (*w, *p))
             .collect();
-        self.books.dead.extend(dead);
-        if light.len() <= FEW_PAGES || !self.books.open.is_empty() {
+        self.placement_log.dead.extend(dead);
+        if light.len() <= FEW_PAGES || !self.placement_log.open.is_empty() {
             return Vec::new();
         }
         light.sort_unstable();
@@ -370,7 +370,7 @@
 
     /// A page was not written and never will be: what is on it waits to be recorded again.
     fn take_apart(&mut self, page: PageId) {
-        let Some(open) = self.books.open.remove(&page) else {
+        let Some(open) = self.placement_log.open.remove(&page) else {
             return;
         };
         self.unrecorded = true;
@@ -387,20 +387,22 @@
                 job.progress_dirty = true;
             }
         }
-        let pages = &self.books.pages;
-        self.books.dead.retain(|p| pages.contains(p));
+        let pages = &self.placement_log.pages;
+        self.placement_log.dead.retain(|p| pages.contains(p));
     }
 
     fn page_written(&mut self, page: PageId, open: OpenPage) -> Vec<MachineId> {
         for old in &open.deletes {
-            self.books.pages.remove(old);
+            self.placement_log.pages.remove(old);
         }
-        self.books.dead.retain(|p| !open.deletes.contains(p));
+        self.placement_log
+            .dead
+            .retain(|p| !open.deletes.contains(p));
         let mut started = Vec::new();
         if open.record == PageRecord::default() {
             return started;
         }
-        self.books.pages.insert(page);
+        self.placement_log.pages.insert(page);
         for machine in self.machines.values_mut() {
             if machine.writing == page {
                 (machine.page, machine.writing) = (page, PageId::NONE);
@@ -432,24 +434,27 @@
 }
 
 impl Core {
-    /// Commits what has changed in the books.
-    pub(crate) fn flush_books(&mut self, now: Now) {
+    /// Commits what has changed in the placement log.
+    pub(crate) fn flush_placement_log(&mut self, now: Now) {
         self.repeat_pages(now.time);
         let rate = self.limits.placement_writes();
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        let tidy = now.time >= lead.books.next_tidy;
+        let tidy = now.time >= lead.placement_log.next_tidy;
         if tidy {
-            lead.books.next_tidy = now.time + TIDY;
+            lead.placement_log.next_tidy = now.time + TIDY;
         }
         if tidy {
-            self.tidy_books(rate, now);
+            self.tidy_placement_log(rate, now);
         }
         let mut progress = tidy;
         while let Some(lead) = self.lead.as_mut() {
             let nothing = !lead.unrecorded && !progress;
-            if nothing || lead.books.open.len() >= OPEN || !lead.books.take(1.0, rate, now.time) {
+            if nothing
+                || lead.placement_log.open.len() >= OPEN
+                || !lead.placement_log.take(1.0, rate, now.time)
+            {
                 break;
             }
             let page = lead.next_page();
@@ -457,39 +462,40 @@
             progress = false;
             if draft.is_empty() {
                 lead.unrecorded = false;
-                lead.books.budget.0 += 1.0;
+                lead.placement_log.budget.0 += 1.0;
                 break;
             }
             let most = lead.limits.operations.saturating_sub(1).min(4);
-            let dead: Vec<PageId> = lead.books.dead.iter().take(most).copied().collect();
-            let affordable = lead.books.take(dead.len() as f64, rate, now.time);
+            let dead: Vec<PageId> = lead.placement_log.dead.iter().take(most).copied().collect();
+            let affordable = lead.placement_log.take(dead.len() as f64, rate, now.time);
             let deletes = if affordable { dead } else { Vec::new() };
-            lead.books.dead.retain(|p| !deletes.contains(p));
+            lead.placement_log.dead.retain(|p| !deletes.contains(p));
             self.open_page(page, draft, deletes);
         }
     }
 
-    fn tidy_books(&mut self, rate: f64, now: Now) {
+    fn tidy_placement_log(&mut self, rate: f64, now: Now) {
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
         let old = lead.tidy_up();
         let cost = 1.0 + old.len() as f64;
-        if !old.is_empty() && lead.books.take(cost, rate, now.time) {
+        if !old.is_empty() && lead.placement_log.take(cost, rate, now.time) {
             let page = lead.next_page();
             let draft = lead.rewrite(page, &old);
             self.open_page(page, draft, old);
-        } else if lead.books.dead.len() >= lead.limits.operations / 2 && lead.books.open.is_empty()
+        } else if lead.placement_log.dead.len() >= lead.limits.operations / 2
+            && lead.placement_log.open.is_empty()
         {
             let dead: Vec<PageId> = lead
-                .books
+                .placement_log
                 .dead
                 .iter()
                 .take(lead.limits.operations)
                 .copied()
                 .collect();
-            if lead.books.take(dead.len() as f64, rate, now.time) {
-                lead.books.dead.retain(|p| !dead.contains(p));
+            if lead.placement_log.take(dead.len() as f64, rate, now.time) {
+                lead.placement_log.dead.retain(|p| !dead.contains(p));
                 let page = lead.next_page();
                 self.open_page(page, Draft::new(), dead);
             }
@@ -504,7 +510,7 @@
                 deletes,
                 again: None,
             };
-            lead.books.open.insert(page, open);
+            lead.placement_log.open.insert(page, open);
             self.send_page(page);
         }
     }
@@ -514,7 +520,7 @@
             return;
         };
         let leading = lead.leading();
-        let Some(open) = lead.books.open.get_mut(&page) else {
+        let Some(open) = lead.placement_log.open.get_mut(&page) else {
             return;
         };
         open.again = None;
@@ -537,7 +543,7 @@
         let Some(lead) = &self.lead else {
             return;
         };
-        let again: Vec<PageId> = (lead.books.open.iter())
+        let again: Vec<PageId> = (lead.placement_log.open.iter())
             .filter(|(_, open)| open.again.is_some_and(|at| now >= at))
             .map(|(page, _)| *page)
             .collect();
@@ -565,12 +571,12 @@
             return lead.take_apart(page);
         }
         if !written {
-            if let Some(open) = lead.books.open.get_mut(&page) {
+            if let Some(open) = lead.placement_log.open.get_mut(&page) {
                 open.again = Some(now.time + AGAIN);
             }
             return;
         }
-        let Some(open) = lead.books.open.remove(&page) else {
+        let Some(open) = lead.placement_log.open.remove(&page) else {
             return;
         };
         let started = lead.page_written(page, open);
--- a/crates/core/src/books/tests.rs
+++ b/crates/core/src/placement_log/tests.rs
@@ -91,10 +91,10 @@
         done: draft.done,
         again: None,
     };
-    lead.books.open.insert(page, open);
+    lead.placement_log.open.insert(page, open);
     lead.limits.value_bytes = before / 3;
     lead.take_apart(page);
-    assert!(lead.books.open.is_empty());
+    assert!(lead.placement_log.open.is_empty());
     assert!(record_all(&mut lead) >= 3);
 }
 
--- a/crates/core/src/possession.rs
+++ b/crates/core/src/placement_tracking.rs
@@ -209,7 +209,7 @@
     Exited(TaskId, Attempt, Cause, Option<Span>),
     /// A task is gone without a word.
     Gone(TaskId, Attempt),
-    /// A task is there that is not in the books.
+    /// A task is there that is not in the placement log.
     Foreign(TaskReport),
 }
 
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -30,8 +30,8 @@
 pub const EPOCH: &str = "epoch";
 /// Prefix of what nodes say about the cancellations that they know, when they can't tell one another.
 pub const KNOWN: &str = "pub/known/";
-/// Prefix of the pages of the leader's books.
-pub const BOOKS: &str = "book/";
+/// Prefix of the pages of the leader's placement log.
+pub const PLACEMENTS: &str = "book/";
 /// The catalog's key.
 pub const CATALOG: &str = "pub/catalog";
 
@@ -42,10 +42,10 @@
 
 /// A page's key.
 pub fn page_key(page: PageId) -> String {
-    format!("{BOOKS}{:016x}", page.0)
+    format!("{PLACEMENTS}{:016x}", page.0)
 }
 
-/// A page of the books. A page is written once and deleted when nothing in it holds any more.
+/// A page of the placement log. A page is written once and deleted when nothing in it holds any more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PageId(pub u64);
 
@@ -160,7 +160,7 @@
     pub epoch: Epoch,
 }
 
-/// A page of the leader's books: what was decided at one time. What holds is the sum of all pages.
+/// A page of the leader's placement log: what was decided at one time. What holds is the sum of all pages.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PageRecord {
     /// Machines, and what may be on them.
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -5,9 +5,9 @@
 use crate::io::{StateAnswer, StateCall, Value};
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Entry, Machine, Phase};
+use crate::placement_tracking::{Entry, Machine, Phase};
 use crate::records::{
-    job_key, JobRecord, LeaderRecord, PageId, PageRecord, BOOKS, CATALOG, JOBS, LEADER,
+    job_key, JobRecord, LeaderRecord, PageId, PageRecord, CATALOG, JOBS, LEADER, PLACEMENTS,
 };
 use crate::state_calls::Urgency;
 use crate::units::{Now, Span};
@@ -23,7 +23,7 @@
     /// Read back a page of the keys with a prefix, beginning after one; the rest of the prefixes
     /// follow.
     ReadBack(&'static str, Option<String>),
-    /// Record a page of the books.
+    /// Record a page of the placement log.
     Page(PageId),
     /// Record that jobs are done.
     Complete(Vec<JobId>),
@@ -46,7 +46,7 @@
 const COMPLETIONS: usize = 16;
 
 /// In the order in which they are read back: jobs come before what refers to them.
-const PREFIXES: [&str; 2] = [JOBS, BOOKS];
+const PREFIXES: [&str; 2] = [JOBS, PLACEMENTS];
 
 impl Core {
     /// Begins to read the state back.
@@ -64,7 +64,7 @@
             return;
         };
         let purpose = Purpose::Lead(lead.epoch_id(), step);
-        self.calls.call(Urgency::Books, call, purpose);
+        self.calls.call(Urgency::Placements, call, purpose);
     }
 
     /// The answer to a leader's call.
@@ -132,8 +132,8 @@
                 JOBS => name.parse().ok().and_then(|id: JobId| {
                     let record: JobRecord = serde_json::from_value(item.value).ok()?;
                     // Another node may have told of something newer.
-                    self.directory.learn_job(id.clone(), item.version, record);
-                    let known = self.directory.jobs.get(&id)?;
+                    self.job_cache.learn_job(id.clone(), item.version, record);
+                    let known = self.job_cache.jobs.get(&id)?;
                     lead.learn_job(&id, known.version, &known.record);
                     Some(())
                 }),
@@ -167,7 +167,7 @@
         self.refresh_all_dependencies(now);
     }
 
-    /// Commits what has changed in the books.
+    /// Commits what has changed in the placement log.
     pub(crate) fn flush(&mut self, now: Now) {
         let Some(lead) = &self.lead else {
             return;
@@ -175,7 +175,7 @@
         if !lead.ready || !lead.lease_valid(now.time) || lead.raised.1 {
             return;
         }
-        self.flush_books(now);
+        self.flush_placement_log(now);
         self.flush_completions(now);
         self.flush_cancellations(now);
     }
@@ -243,7 +243,7 @@
                         job.committing = false;
                         let record = JobRecord::done(job.spec.tasks, job.submitted, now.wall);
                         lead.finish(&id);
-                        self.directory.learn_job(id, version, record);
+                        self.job_cache.learn_job(id, version, record);
                     }
                 }
                 lead.wake(now.time);
@@ -272,8 +272,8 @@
         match answer {
             StateAnswer::Found(item) => {
                 if let Ok(record) = serde_json::from_value::<JobRecord>(item.value) {
-                    self.directory.learn_job(id.clone(), item.version, record);
-                    let known = self.directory.jobs.get(&id);
+                    self.job_cache.learn_job(id.clone(), item.version, record);
+                    let known = self.job_cache.jobs.get(&id);
                     if let (Some(lead), Some(known)) = (self.lead.as_mut(), known) {
                         lead.learn_job(&id, known.version, &known.record);
                     }
@@ -410,7 +410,7 @@
 
     /// Takes in a page after a take-over.
     fn page_back(&mut self, page: PageId, record: PageRecord, now: Now) {
-        self.books.learn(page);
+        self.placement_log.learn(page);
         for (id, ranges) in record.done {
             if let Some(job) = self.jobs.get_mut(&id) {
                 if page >= job.page {
--- a/crates/core/src/recovery/tests.rs
+++ b/crates/core/src/recovery/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::testing::{job, lead, NOW};
 
-/// A new leader tried every task of a broken array again; now the books tell it. A later page that
+/// A new leader tried every task of a broken array again; now the log tells it. A later page that
 /// does not name the job as suspected clears it.
 #[test]
 fn a_new_leader_knows_suspected_jobs() {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/report_forwarding.rs
@@ -9,8 +9,8 @@
 //! If the leader says nothing, workers get 503 at once and try another node.
 
 use crate::core::{Core, PeerView};
-use crate::directory::Directory;
 use crate::io::{json, CallId, Output, ReqId};
+use crate::job_cache::JobCache;
 use crate::lead::Lead;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{Epoch, MachineId, NodeName, Seq, Session};
@@ -54,7 +54,7 @@
 
 /// What a follower remembers of reports.
 #[derive(Default)]
-pub struct Relay {
+pub struct ReportForwarding {
     waiting: Vec<Held>,
     since: Option<Time>,
     open: BTreeMap<CallId, Vec<Held>>,
@@ -71,7 +71,7 @@
     trials: BTreeMap<NodeName, Time>,
 }
 
-impl Relay {
+impl ReportForwarding {
     /// How many workers report here.
     pub fn workers(&mut self, now: Time, report: Span) -> u32 {
         let left = LEFT_LEAST.max(Span(report.0 * 5 / 4) + LEFT_SPARE);
@@ -122,18 +122,20 @@
             self.report_to(req, Some(peer));
             return None;
         }
-        if self.relay.waiting.len() >= MOST {
+        if self.forwarding.waiting.len() >= MOST {
             self.refuse(req, "too many reports wait");
             return None;
         }
         let me = (leader, self.election.epoch);
-        if self.relay.leader.as_ref() != Some(&me) {
-            self.relay.taken.clear();
-            self.relay.leader = Some(me);
+        if self.forwarding.leader.as_ref() != Some(&me) {
+            self.forwarding.taken.clear();
+            self.forwarding.leader = Some(me);
         }
-        self.relay.workers.insert(report.machine.clone(), now.time);
-        self.relay.since.get_or_insert(now.time);
-        self.relay.waiting.push(Held {
+        self.forwarding
+            .workers
+            .insert(report.machine.clone(), now.time);
+        self.forwarding.since.get_or_insert(now.time);
+        self.forwarding.waiting.push(Held {
             req,
             report,
             whole: false,
@@ -153,7 +155,7 @@
     /// key change, but hears who leads a later epoch.
     pub(crate) fn near_leader(&self, now: Time) -> Option<NodeName> {
         let leads = |p: &PeerView| p.leads && now < p.heard + Span(1_500);
-        let recorded = self.directory.leader.as_ref().map(|(_, r)| &r.node);
+        let recorded = self.job_cache.leader.as_ref().map(|(_, r)| &r.node);
         let named = recorded.filter(|node| self.peers.get(*node).is_some_and(leads));
         let heard = (self.peers.iter())
             .filter(|(_, p)| leads(p) && p.epoch >= self.election.epoch)
@@ -174,9 +176,9 @@
 
     /// A node that a worker should rather report to, since it has far fewer of them.
     pub(crate) fn lighter(&mut self, machine: &MachineId, now: Time) -> Option<NodeName> {
-        let known = self.relay.workers.contains_key(machine);
+        let known = self.forwarding.workers.contains_key(machine);
         let report = self.report_interval();
-        let mine = self.relay.workers(now, report) + u32::from(!known);
+        let mine = self.forwarding.workers(now, report) + u32::from(!known);
         let weight = |leads: bool, name: &NodeName| {
             let lead = if leads { LEADER_WEIGHT } else { 1 };
             let last = if self.next_is_silent(name, now) {
@@ -189,9 +191,9 @@
         let mine = mine * weight(self.lead.is_some(), &self.settings.node);
         let (load, peer) = (self.peers.iter())
             .filter(|(_, p)| now < p.heard + Span(1_500) && p.passes)
-            .filter(|(name, p)| self.relay.may_send(name, p, report, now))
+            .filter(|(name, p)| self.forwarding.may_send(name, p, report, now))
             .map(|(name, p)| {
-                let sent = self.relay.sent.get(name).copied().unwrap_or(0);
+                let sent = self.forwarding.sent.get(name).copied().unwrap_or(0);
                 ((p.workers + sent) * weight(p.leads, name), name)
             })
             .min()?;
@@ -201,9 +203,9 @@
             return None;
         }
         let peer = peer.clone();
-        self.relay.trials.insert(peer.clone(), now);
-        *self.relay.sent.entry(peer.clone()).or_default() += 1;
-        self.relay.workers.remove(machine);
+        self.forwarding.trials.insert(peer.clone(), now);
+        *self.forwarding.sent.entry(peer.clone()).or_default() += 1;
+        self.forwarding.workers.remove(machine);
         Some(peer)
     }
 
@@ -216,7 +218,7 @@
             None
         };
         if peer.is_none() {
-            self.relay.workers.insert(machine.clone(), now);
+            self.forwarding.workers.insert(machine.clone(), now);
         }
         peer
     }
@@ -227,9 +229,12 @@
     }
 
     /// Passes on what has been collected.
-    pub(crate) fn relay_tick(&mut self, now: Now) {
-        let due = self.relay.since.is_some_and(|t| now.time >= t + GATHER);
-        if !due || self.relay.open.len() >= OPEN {
+    pub(crate) fn forwarding_tick(&mut self, now: Now) {
+        let due = self
+            .forwarding
+            .since
+            .is_some_and(|t| now.time >= t + GATHER);
+        if !due || self.forwarding.open.len() >= OPEN {
             return;
         }
         let mut tasks = 0;
@@ -237,34 +242,40 @@
             tasks += 2 + held.report.tasks.len();
             tasks <= BATCH_TASKS
         };
-        let n = self.relay.waiting.iter().take_while(fits).count().max(1);
+        let n = self
+            .forwarding
+            .waiting
+            .iter()
+            .take_while(fits)
+            .count()
+            .max(1);
         let rest = self
-            .relay
+            .forwarding
             .waiting
-            .split_off(n.min(self.relay.waiting.len()));
-        let held = std::mem::replace(&mut self.relay.waiting, rest);
-        self.relay.since = (!self.relay.waiting.is_empty()).then_some(now.time);
+            .split_off(n.min(self.forwarding.waiting.len()));
+        let held = std::mem::replace(&mut self.forwarding.waiting, rest);
+        self.forwarding.since = (!self.forwarding.waiting.is_empty()).then_some(now.time);
         let Some(leader) = self.near_leader(now.time) else {
             return self.not_passed(held);
         };
-        let reports = held.iter().map(|h| self.relay.shortened(h)).collect();
-        self.relay.next += 1;
-        let call = CallId(self.relay.next);
-        self.relay.open.insert(call, held);
+        let reports = held.iter().map(|h| self.forwarding.shortened(h)).collect();
+        self.forwarding.next += 1;
+        let call = CallId(self.forwarding.next);
+        self.forwarding.open.insert(call, held);
         self.out
             .push(Output::PassReports(leader, call, Reports { reports }));
     }
 
     fn not_passed(&mut self, held: Vec<Held>) {
         for held in held {
-            self.relay.workers.remove(&held.report.machine);
+            self.forwarding.workers.remove(&held.report.machine);
             self.refuse(held.req, "the leader does not answer");
         }
     }
 
     /// The leader's answer to reports that were passed on.
     pub(crate) fn passed(&mut self, call: CallId, reply: Option<ReportsReply>, now: Now) {
-        let Some(held) = self.relay.open.remove(&call) else {
+        let Some(held) = self.forwarding.open.remove(&call) else {
             return;
         };
         let (token, answers) = match reply {
@@ -280,9 +291,9 @@
                 PassedAnswer::Answered(commands) => self.pass_back(held, token, commands),
                 PassedAnswer::Whole if !held.whole => {
                     held.whole = true;
-                    self.relay.taken.remove(&held.report.machine);
-                    self.relay.since.get_or_insert(now.time);
-                    self.relay.waiting.push(held);
+                    self.forwarding.taken.remove(&held.report.machine);
+                    self.forwarding.since.get_or_insert(now.time);
+                    self.forwarding.waiting.push(held);
                 }
                 _ => self.refuse(held.req, "not entitled"),
             }
@@ -298,12 +309,13 @@
             }),
         };
         let report = held.report;
-        let same = (self.relay.taken.get(&report.machine)).is_some_and(|(session, _, tasks)| {
-            *session == report.session && *tasks == report.tasks
-        });
+        let same =
+            (self.forwarding.taken.get(&report.machine)).is_some_and(|(session, _, tasks)| {
+                *session == report.session && *tasks == report.tasks
+            });
         if !same || held.whole {
             let list = (report.session, report.seq, report.tasks);
-            self.relay.taken.insert(report.machine, list);
+            self.forwarding.taken.insert(report.machine, list);
         }
         self.answer(held.req, 200, body);
     }
@@ -323,7 +335,7 @@
             return self.out.push(Output::AnswerReports(req, none));
         }
         let answers = (passed.reports.into_iter())
-            .map(|report| lead.take_passed(report, &self.directory, now))
+            .map(|report| lead.take_passed(report, &self.job_cache, now))
             .collect();
         let reply = ReportsReply {
             token: Some(lead.epoch),
@@ -337,7 +349,7 @@
     fn take_passed(
         &mut self,
         passed: PassedReport,
-        directory: &Directory,
+        job_cache: &JobCache,
         now: Now,
     ) -> PassedAnswer {
         let id = MachineId::from(passed.machine.as_str());
@@ -357,7 +369,7 @@
                 None => return PassedAnswer::Whole,
             },
         };
-        let answer = self.answer_report(&report, directory, now);
+        let answer = self.answer_report(&report, job_cache, now);
         if let Some(machine) = self.machines.get_mut(&id).filter(|_| whole) {
             // What the peer may refer to from now on.
             if machine.newest == (report.session, report.seq) {
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -1,9 +1,9 @@
 //! What a leader concludes from workers' reports, and from what is gone.
 
-use crate::directory::Directory;
 use crate::job::is_firm;
+use crate::job_cache::JobCache;
 use crate::lead::Lead;
-use crate::possession::{Change, Entry, Machine, Phase, Stop};
+use crate::placement_tracking::{Change, Entry, Machine, Phase, Stop};
 use crate::records::PageId;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{Attempt, JobId, MachineId, Session, TaskId};
@@ -26,7 +26,7 @@
     pub fn answer_report(
         &mut self,
         report: &Report,
-        directory: &Directory,
+        job_cache: &JobCache,
         now: Now,
     ) -> Option<Vec<Command>> {
         if report.token > self.epoch || self.returned.contains_key(&report.machine) {
@@ -39,12 +39,12 @@
         let newest = (report.session, report.seq);
         let machine = match self.machines.get_mut(&report.machine) {
             Some(machine) if self.ready => machine,
-            _ => return Some(directory.stops_of_cancelled(report)),
+            _ => return Some(job_cache.stops_of_cancelled(report)),
         };
         machine.last_answer = Some(now.time);
         if machine.newest != newest {
             // It renews the worker's lease all the same, so it carries what must not go on.
-            return Some(directory.stops_of_cancelled(report));
+            return Some(job_cache.stops_of_cancelled(report));
         }
         let id = machine.id.clone();
         Some(self.commands(&id, now.time, false))
@@ -294,7 +294,7 @@
         }
     }
 
-    /// A task that is not in the books: a late start, or one whose record was dropped.
+    /// A task that is not in the placement log: a late start, or one whose record was dropped.
     pub(crate) fn adopt(&mut self, machine: &MachineId, told: TaskReport, now: Now) {
         let spec = (self.jobs.get(&told.task.job)).map(|j| j.spec.clone());
         let mut entry = Entry::planned(told.task.clone(), told.attempt, spec, now.time);
@@ -312,7 +312,7 @@
             entry.stop = Some(Stop {
                 grace_s: 0.0,
                 since: now.time,
-                why: "not in the books",
+                why: "not in the placement log",
             });
             if let Some(job) = self.jobs.get_mut(&told.task.job) {
                 job.place(told.task.index, machine, told.attempt);
--- a/crates/core/src/reports/tests.rs
+++ b/crates/core/src/reports/tests.rs
@@ -32,19 +32,19 @@
     let id = up(&mut lead, "vm-1", "a");
     let job = job(1, "sweep", "red", "normal");
     run(&mut lead, &job, 0, &id);
-    let mut directory = Directory::default();
+    let mut job_cache = JobCache::default();
     let mut record = JobRecord::queued(&job.spec, NOW.wall);
     record.state = JobState::Cancelled;
-    directory.learn_job(job.spec.id.clone(), Version(5), record);
+    job_cache.learn_job(job.spec.id.clone(), Version(5), record);
     let task = job.spec.id.task(0);
-    let newest = lead.answer_report(&report(&id, 5, &task), &Directory::default(), NOW);
+    let newest = lead.answer_report(&report(&id, 5, &task), &JobCache::default(), NOW);
     assert_eq!(newest, Some(vec![]));
     let stop = Command::Stop {
         task: task.clone(),
         attempt: Attempt(1),
         grace_s: 0.0,
     };
-    let late = lead.answer_report(&report(&id, 3, &task), &directory, NOW);
+    let late = lead.answer_report(&report(&id, 3, &task), &job_cache, NOW);
     assert_eq!(late, Some(vec![stop]));
 }
 
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -6,7 +6,7 @@
 
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::Machine;
+use crate::placement_tracking::Machine;
 use crate::tree::{amounts, Amounts, KINDS};
 use crate::units::{Now, Resources, Span, Time};
 use rudderreel_wire::ids::{Attempt, Image, JobId, MachineId, TaskId, TypeName, Zone};
--- a/crates/core/src/state_calls.rs
+++ b/crates/core/src/state_calls.rs
@@ -12,7 +12,7 @@
     /// What a user waits for.
     User,
     /// The leader's bookkeeping.
-    Books,
+    Placements,
 }
 
 /// Keeps this node's part of the state service's limits with one bucket of tokens.
@@ -24,7 +24,7 @@
     queues: [VecDeque<(StateCall, P)>; 3],
     open: HashMap<CallId, P>,
     /// Whose turn it is when both users' calls and the leader's wait.
-    books_next: bool,
+    placements_next: bool,
 }
 
 /// Calls that may be open at once: more would only queue up in the shell.
@@ -40,7 +40,7 @@
             filled: Time(0),
             queues: Default::default(),
             open: HashMap::new(),
-            books_next: false,
+            placements_next: false,
         }
     }
 
@@ -85,7 +85,7 @@
 
     /// The next call that may go out. Leases may use the last tokens. Users' calls and the leader's
     /// take turns: whichever always went first could keep the other waiting for ever. (A leader that
-    /// got many questions once read its books back for 690 s, and nothing ran meanwhile.)
+    /// got many questions once read its log back for 690 s, and nothing ran meanwhile.)
     fn next_call(&mut self) -> Option<(StateCall, P)> {
         let (tokens, open) = (self.tokens, self.open.len());
         if tokens >= 1.0 && open < MAX_OPEN + 4 {
@@ -96,14 +96,14 @@
         if tokens < 2.0 || open >= MAX_OPEN {
             return None;
         }
-        let (users, books) = (Urgency::User as usize, Urgency::Books as usize);
-        let order = if self.books_next {
-            [books, users]
+        let (users, placements) = (Urgency::User as usize, Urgency::Placements as usize);
+        let order = if self.placements_next {
+            [placements, users]
         } else {
-            [users, books]
+            [users, placements]
         };
         let level = order.into_iter().find(|l| !self.queues[*l].is_empty())?;
-        self.books_next = level == users;
+        self.placements_next = level == users;
         self.queues[level].pop_front()
     }
 }
--- a/crates/core/src/state_calls/tests.rs
+++ b/crates/core/src/state_calls/tests.rs
@@ -15,13 +15,13 @@
     assert!(!out.is_empty() && !calls.is_behind());
 }
 
-/// A leader to which users put more questions than it may ask on never read its books back.
+/// A leader to which users put more questions than it may ask on never read its log back.
 #[test]
 fn neither_users_nor_the_leader_wait_for_ever() {
     let mut calls = StateCalls::new(10.0);
     let mut out = Vec::new();
     let key = |s: &str| StateCall::Get(s.into());
-    calls.call(Urgency::Books, key("book/1"), "books");
+    calls.call(Urgency::Placements, key("book/1"), "placements");
     for second in 1..4u64 {
         for _ in 0..20 {
             calls.call(Urgency::User, key("pub/job/wk-1"), "user");
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -2,7 +2,7 @@
 
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::possession::{Entry, Machine, Phase};
+use crate::placement_tracking::{Entry, Machine, Phase};
 use crate::tree::TeamTree;
 use crate::units::{Now, Time, Wall};
 use rudderreel_wire::ids::{Attempt, Epoch, LeaseId, MachineId, Version};
--- a/crates/core/src/reads.rs
+++ b/crates/core/src/user_requests.rs
@@ -7,8 +7,8 @@
 use crate::admin::Latency;
 use crate::confirmation::{Confirmation, Unconfirmed};
 use crate::core::{Core, Purpose};
-use crate::directory::KnownJob;
 use crate::io::{error_body, json, Output, ReqId, StateAnswer, StateCall, UserRequest};
+use crate::job_cache::KnownJob;
 use crate::records::{job_key, JobRecord};
 use crate::state_calls::Urgency;
 use crate::units::{Now, Span, Time};
@@ -56,7 +56,7 @@
 
 /// Users' requests that are being served.
 #[derive(Default)]
-pub struct Reads {
+pub struct UserRequests {
     /// Requests that wait for a confirmation.
     pub(crate) unconfirmed: Unconfirmed,
     /// Jobs that are being cancelled since a dependency of theirs is.
@@ -96,7 +96,7 @@
             from_peer,
             tries: 0,
         };
-        if self.reads.open >= MAX_OPEN || self.calls.is_behind() {
+        if self.user_requests.open >= MAX_OPEN || self.calls.is_behind() {
             return self.refuse(waiting.req, "too many requests are open");
         }
         if self.is_final(waiting.job()) {
@@ -109,19 +109,19 @@
     }
 
     pub(crate) fn is_final(&self, id: &JobId) -> bool {
-        (self.directory.jobs.get(id)).is_some_and(|known| known.record.is_final())
+        (self.job_cache.jobs.get(id)).is_some_and(|known| known.record.is_final())
     }
 
     pub(crate) fn serve(&mut self, waiting: Waiting, now: Now) {
         if self.is_final(waiting.job()) {
             return self.tell(waiting, now);
         }
-        let known = self.directory.jobs.get(waiting.job()).cloned();
+        let known = self.job_cache.jobs.get(waiting.job()).cloned();
         match (&waiting.request, known) {
             (UserRequest::Withdraw(_), Some(known)) => self.cancel(waiting, known, None, now),
             (_, Some(_)) => self.confirm_later(waiting, now),
             // That there is no such job is confirmed like anything else.
-            (UserRequest::Status(_), None) if self.directory.complete => {
+            (UserRequest::Status(_), None) if self.job_cache.complete => {
                 self.confirm_later(waiting, now)
             }
             (UserRequest::Submit(spec), None) => match self.never_runs(spec) {
@@ -134,7 +134,7 @@
     }
 
     pub(crate) fn user_call(&mut self, call: StateCall, step: UserStep) {
-        self.reads.open += 1;
+        self.user_requests.open += 1;
         self.calls.call(Urgency::User, call, Purpose::User(step));
     }
 
@@ -154,10 +154,10 @@
     /// Answers a request about a job that can't become ready any more: its record is written first.
     pub(crate) fn cancel_with(&mut self, waiting: Waiting, by: &JobId, now: Now) {
         let id = waiting.job().clone();
-        let Some(known) = self.directory.jobs.get(&id).cloned() else {
+        let Some(known) = self.job_cache.jobs.get(&id).cloned() else {
             return self.refuse(waiting.req, "the job is not known here");
         };
-        if !self.reads.cancelling.insert(id) {
+        if !self.user_requests.cancelling.insert(id) {
             // Another request has it written at this moment.
             return self.confirm_later(waiting, now);
         }
@@ -171,7 +171,7 @@
 
     /// The answer to a call for users.
     pub(crate) fn user_answer(&mut self, step: UserStep, answer: StateAnswer, now: Now) {
-        self.reads.open = self.reads.open.saturating_sub(1);
+        self.user_requests.open = self.user_requests.open.saturating_sub(1);
         match step {
             UserStep::Read(waiting) => self.was_read(waiting, answer, now),
             UserStep::Create(waiting, job) => self.was_created(waiting, *job, answer, now),
@@ -191,9 +191,9 @@
                     return self.refuse(waiting.req, "unreadable record");
                 };
                 let id = waiting.job().clone();
-                self.directory.learn_job(id, item.version, record);
+                self.job_cache.learn_job(id, item.version, record);
                 // What the cache has learned since is newer still.
-                let newest = self.directory.jobs.get(waiting.job()).cloned();
+                let newest = self.job_cache.jobs.get(waiting.job()).cloned();
                 match (&waiting.request, newest) {
                     (UserRequest::Withdraw(_), Some(known)) if !known.record.is_final() => {
                         self.cancel(waiting, known, None, now)
@@ -202,7 +202,7 @@
                 }
             }
             // It was read before what the cache has learned since.
-            StateAnswer::Missing if self.directory.jobs.contains_key(waiting.job()) => {
+            StateAnswer::Missing if self.job_cache.jobs.contains_key(waiting.job()) => {
                 self.again(waiting, now)
             }
             StateAnswer::Missing => match &waiting.request {
@@ -232,11 +232,11 @@
         answer: StateAnswer,
         now: Now,
     ) {
-        self.reads.cancelling.remove(waiting.job());
+        self.user_requests.cancelling.remove(waiting.job());
         match answer {
             StateAnswer::Committed(version) => {
                 let id = waiting.job().clone();
-                self.directory.learn_job(id, version, record);
+                self.job_cache.learn_job(id, version, record);
                 self.tell(waiting, now);
             }
             StateAnswer::Conflict(_) | StateAnswer::Unknown => self.again(waiting, now),
@@ -247,7 +247,7 @@
     /// There was no such job when that was asked. If one was accepted since, an answer that says so may
     /// have been given by now.
     pub(crate) fn no_such_job(&mut self, waiting: Waiting, now: Now) {
-        if self.directory.jobs.contains_key(waiting.job()) {
+        if self.job_cache.jobs.contains_key(waiting.job()) {
             return self.again(waiting, now);
         }
         self.answer(waiting.req, 404, error_body("no such job"));
@@ -256,7 +256,7 @@
     /// Answers by a job's record that was just read. What it depends on has yet to be confirmed.
     pub(crate) fn tell_read(&mut self, mut waiting: Waiting, now: Now) {
         let unfinished = |known: &KnownJob| !known.record.is_final();
-        let known = self.directory.jobs.get(waiting.job());
+        let known = self.job_cache.jobs.get(waiting.job());
         if !known.is_some_and(|k| unfinished(k) && !k.dependencies().is_empty()) {
             return self.tell(waiting, now);
         }
@@ -270,7 +270,7 @@
     /// Answers by what is known of a job, which is fresh, or final. That a job is cancelled is told only
     /// once enough nodes know it.
     pub(crate) fn tell(&mut self, waiting: Waiting, now: Now) {
-        let cancelled = (self.directory.jobs.get(waiting.job()))
+        let cancelled = (self.job_cache.jobs.get(waiting.job()))
             .filter(|known| known.record.state == JobState::Cancelled)
             .map(|known| known.version);
         if cancelled.is_some_and(|version| self.waits_for_others(&waiting, version, now)) {
@@ -283,14 +283,14 @@
     pub(crate) fn tell_now(&mut self, waiting: &Waiting, now: Now) {
         let id = waiting.job().clone();
         let Some(record) = self
-            .directory
+            .job_cache
             .jobs
             .get(&id)
             .map(|known| known.record.clone())
         else {
             return self.refuse(waiting.req, "the job is not known here");
         };
-        self.reads.latency.note(now.time - waiting.since);
+        self.user_requests.latency.note(now.time - waiting.since);
         let tasks = record.tasks;
         let (done, running) = self.counts(&id);
         let state = match record.state {
@@ -331,7 +331,7 @@
                     UserRequest::Withdraw(id) => Forward::Withdraw(id.to_string()),
                 };
                 self.out.push(Output::Forward(peer, waiting.req, forward));
-                self.reads.forwarded.insert(waiting.req, waiting);
+                self.user_requests.forwarded.insert(waiting.req, waiting);
             }
             _ => self.refuse(waiting.req, "the state service does not answer"),
         }
@@ -339,8 +339,8 @@
 
     /// A peer's answer to a forwarded request.
     pub(crate) fn forward_answer(&mut self, req: ReqId, answer: Option<(u16, String)>) {
-        let admin = self.reads.admin_forwarded.remove(&req).is_some();
-        if self.reads.forwarded.remove(&req).is_none() && !admin {
+        let admin = self.user_requests.admin_forwarded.remove(&req).is_some();
+        if self.user_requests.forwarded.remove(&req).is_none() && !admin {
             return;
         }
         match answer {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -21,7 +21,7 @@
             if self.election.cares(now.time) && report.token <= self.election.epoch {
                 let reply = ReportReply {
                     token: self.election.epoch,
-                    commands: self.directory.stops_of_cancelled(&report),
+                    commands: self.job_cache.stops_of_cancelled(&report),
                 };
                 return self.answer(req, 200, json(&reply));
             }
@@ -30,7 +30,7 @@
         if !lead.may_answer(now.time, state_ok, majority) {
             return self.refuse(req, "leading is in doubt");
         }
-        match lead.answer_report(&report, &self.directory, now) {
+        match lead.answer_report(&report, &self.job_cache, now) {
             Some(commands) => {
                 let token = lead.epoch;
                 if commands.is_empty() {
@@ -48,7 +48,7 @@
     /// that has long ended, and would send workers to and fro. (Two nodes that the state service
     /// refused did so until the leases ran out, since the one still took the other for the leader.)
     fn report_elsewhere(&mut self, req: ReqId, now: Time) {
-        let recorded = self.directory.leader.as_ref().map(|(_, r)| r.node.clone());
+        let recorded = self.job_cache.leader.as_ref().map(|(_, r)| r.node.clone());
         let recorded = recorded.filter(|_| self.election.state_ok(now));
         let leader = self.near_leader(now).or(recorded);
         self.report_to(req, leader.filter(|node| *node != self.settings.node));
--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -223,6 +223,28 @@
     }
 }
 
+/// Also of jobs that nobody asks about the records say that they are cancelled, soon and whoever leads.
+#[test]
+fn the_records_of_dependents_are_written_though_nobody_asks() {
+    for (seed, leader_ends) in [(1_015, false), (1_016, true)] {
+        let mut world = scripted(seed, 3);
+        let first = submit(&mut world, 0, step(1, &[]));
+        for n in 2..12 {
+            submit(&mut world, 1, step(n, &[n - 1]));
+        }
+        let leader = world.leader().expect("a leader");
+        assert_eq!(
+            withdraw(&mut world, (leader + 1) % 3, &first),
+            JobState::Cancelled
+        );
+        if leader_ends {
+            world.end_for(leader, 30_000);
+        }
+        world.run_until(world.now + 15_000);
+        assert_eq!(world.check_cancelled_together(), 10);
+    }
+}
+
 /// A job that names a cancelled one is accepted, and is cancelled from the start.
 #[test]
 fn naming_a_cancelled_job_is_accepted_as_cancelled() {
