--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -13,7 +13,7 @@
 use crate::store_limits::StoreLimits;
 use crate::units::Wall;
 use rudderreel_wire::ids::{
-    Attempt, Epoch, JobId, LeaseId, MachineId, NodeName, TypeName, Version, Zone,
+    Attempt, Class, Epoch, Image, JobId, LeaseId, MachineId, NodeName, TypeName, Version, Zone,
 };
 use rudderreel_wire::job::{JobSpec, JobState};
 use serde::{Deserialize, Serialize};
@@ -98,7 +98,7 @@
     }
 
     /// The same job, cancelled by its user or with a dependency. If it no longer fits the limits of
-    /// the state service, it goes without the lists that only a job which may start needs.
+    /// the state service, it goes without the lists and names that only a job which may start needs.
     pub fn cancelled(&self, at: Wall, by: Option<&JobId>, limits: &StoreLimits) -> Self {
         let mut record = self.clone();
         record.state = JobState::Cancelled;
@@ -108,6 +108,8 @@
             if let Some(spec) = &mut record.spec {
                 spec.types = None;
                 spec.dependencies = Vec::new();
+                spec.class = Class::from("");
+                spec.image = Image::from("");
             }
         }
         record
--- a/crates/core/src/records/tests.rs
+++ b/crates/core/src/records/tests.rs
@@ -108,6 +108,7 @@
     let mut spec = with_dependencies();
     let ids = (0..1_000).map(|n| format!("wk-{n}").parse().expect("an id"));
     spec.dependencies = ids.collect();
+    spec.image = Image::from("x".repeat(3_000).as_str());
     let queued = JobRecord::queued(&spec, Wall(5));
     assert!(!LIMITS.fits(&queued));
     let cancelled = queued.cancelled(Wall(9), None, &LIMITS);
--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -4,6 +4,7 @@
 use super::stores::Limits;
 use super::unfinished;
 use super::world::{Asked, Plan, Trouble, World};
+use rudderreel_core::AdminRequest;
 use rudderreel_wire::ids::JobId;
 use rudderreel_wire::job::{JobSpec, JobState};
 
@@ -245,6 +246,24 @@
     }
 }
 
+/// Administrators are told what a job waits for, and with what it was cancelled.
+#[test]
+fn explanations_name_dependencies() {
+    let mut world = scripted(1_018, 3);
+    let first = submit(&mut world, 0, step(1, &[]));
+    let second = submit(&mut world, 1, step(2, &[1]));
+    let explain = |world: &mut World, id: &JobId| world.admin(2, AdminRequest::Job(id.clone())).1;
+    let why = explain(&mut world, &second);
+    assert_eq!(why["waits_for"], serde_json::json!([first]));
+    assert!(why["why"].as_str().expect("text").contains("depends on"));
+    let why = explain(&mut world, &first);
+    assert_eq!(why["needed_by"], serde_json::json!([second]));
+    assert_eq!(withdraw(&mut world, 0, &first), JobState::Cancelled);
+    world.run_until(world.now + 10_000);
+    let why = explain(&mut world, &second);
+    assert_eq!(why["cancelled_with"], serde_json::json!(first));
+}
+
 /// A job that names a cancelled one is accepted, and is cancelled from the start.
 #[test]
 fn naming_a_cancelled_job_is_accepted_as_cancelled() {
