--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -276,6 +276,38 @@
     }
 }
 
+/// A node that was cut off while a job was cancelled takes submissions that name it as soon as the state
+/// service serves it again, before it hears of what it missed: none is called queued.
+#[test]
+fn a_node_that_missed_the_cancellation_accepts_nothing_as_queued() {
+    for seed in 1_060..1_070 {
+        let mut world = scripted(seed, 3);
+        let first = submit(&mut world, 0, step(1, &[]));
+        submit(&mut world, 1, step(2, &[1]));
+        world.run_until(world.now + 500);
+        let leader = world.leader().expect("a leader");
+        let (teller, cut) = ((leader + 1) % 3, (leader + 2) % 3);
+        let end = world.now + 40_000;
+        world.cut_but_for_workers(cut, end);
+        assert_eq!(withdraw(&mut world, teller, &first), JobState::Cancelled);
+        world.run_until(end);
+        for n in 0..150 {
+            let spec = step(100 + n, &[2]);
+            let id = spec.id.clone();
+            world.add_job(spec);
+            world.user_asks(cut, &id, Asked::Submit);
+            // The world fails the test if it is called queued.
+            world.run_until(world.now + 3);
+        }
+        world.run_until(world.now + 2_000);
+        let told = (100..250).filter(|n| {
+            let id: JobId = format!("wk-{n:06}").parse().expect("an id");
+            world.jobs[&id].accepted
+        });
+        assert!(told.count() > 3, "hardly any was accepted");
+    }
+}
+
 /// What was done when its user wanted to cancel it lets the jobs after it go on.
 #[test]
 fn a_withdrawal_that_comes_too_late_leaves_dependents_alone() {
