--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -139,7 +139,7 @@
     }
 
     fn ask_leader(&mut self, req: ReqId, request: &AdminRequest, local: bool, now: Now) {
-        let leader = self.job_cache.leader.as_ref().map(|(_, r)| r.node.clone());
+        let leader = self.job_cache.leader().map(|(_, r)| r.node.clone());
         match leader {
             Some(leader) if local && self.peers.contains_key(&leader) => {
                 let forward = Forward::Admin(request.path());
@@ -217,7 +217,7 @@
     }
 
     fn overview(&self, now: Now) -> Value {
-        let leader = self.job_cache.leader.as_ref().map(|(_, r)| r);
+        let leader = self.job_cache.leader().map(|(_, r)| r);
         let lead = self.lead.as_ref();
         json!({
             "node": self.settings.node,
--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// UserRequests what jobs' keys hold after a commit that failed.
+    /// Reads what jobs' keys hold after a commit that failed.
     fn read_jobs(&mut self, ids: impl Iterator<Item = JobId>) {
         for id in ids {
             let call = StateCall::Get(job_key(&id));
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -2,11 +2,11 @@
 
 use crate::cancellations::Cancellations;
 use crate::capacity::CloudCalls;
-use crate::election::{Election, Step, Verdict};
+use crate::election::{Election, Step, Verdict, Won};
 use crate::io::{show, CallId, Input, Output, ReqId, StateAnswer, StateCall, Value};
 use crate::job_cache::JobCache;
 use crate::lead::Lead;
-use crate::records::{LEADER, SHARED};
+use crate::records::{LeaderKey, SHARED};
 use crate::recovery::LeadStep;
 use crate::report_forwarding::ReportForwarding;
 use crate::state_calls::{StateCalls, Urgency};
@@ -16,7 +16,7 @@
 use crate::user_requests::{UserRequests, UserStep};
 use rudderreel_wire::admin::{AdminSettings, Versioned};
 use rudderreel_wire::cloud::Catalog;
-use rudderreel_wire::ids::{Epoch, JobId, LeaseId, MachineId, NodeName, Version, Zone};
+use rudderreel_wire::ids::{Epoch, JobId, MachineId, NodeName, Version, Zone};
 use rudderreel_wire::job::JobState;
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::state::{Event, Page};
@@ -26,13 +26,22 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Purpose {
     Election(Step),
-    Fill(Option<Version>),
+    Fill(Option<Fill>),
     User(UserStep),
     Lead(u64, LeadStep),
     Settings(ReqId, Box<AdminSettings>),
     Known,
 }
 
+/// A read of everything that is watched, page by page.
+#[derive(Clone, Debug)]
+pub(crate) struct Fill {
+    /// The revision of the first page: what has changed since is seen by the watch.
+    first: Version,
+    /// Leaders' keys that were found.
+    leader_keys: Vec<LeaderKey>,
+}
+
 /// What is known of a peer.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerView {
@@ -187,9 +196,8 @@
         if !self.job_cache.complete && !self.filling && now.time >= self.next_fill {
             self.fill();
         }
-        let leader = self.job_cache.leader.as_ref().map(|(_, r)| r);
         let mine = self.lead.as_ref().map(|l| l.lease_id);
-        let due = self.election.tick(now.time, leader, mine);
+        let due = self.election.tick(now.time, self.job_cache.seat(), mine);
         self.election_calls(due);
         self.confirm(now);
         self.cancellations_tick(now);
@@ -247,23 +255,15 @@
         self.election_calls(calls);
         match verdict {
             Verdict::Nothing => {}
-            Verdict::Leader(record) => {
-                let revision = record.as_ref().map_or(self.job_cache.leader_seen, |r| r.0);
-                if revision >= self.job_cache.leader_seen {
-                    self.job_cache.learn_leader(revision, record);
-                }
-            }
-            Verdict::Won(epoch, lease, since, version) => {
-                self.take_lead(epoch, lease, since, version, now)
-            }
+            Verdict::Leader(key, record) => self.job_cache.learn_leader_read(key, record),
+            Verdict::Won(won) => self.take_lead(won, now),
             Verdict::Lost => self.step_down("its lease has ended"),
         }
     }
 
-    fn take_lead(&mut self, epoch: Epoch, lease: LeaseId, sent: Time, version: Version, now: Now) {
-        log::info!("leading as {}", show(epoch));
-        let tree = self.tree.clone();
-        let mut lead = Lead::new(&self.settings, tree, epoch, lease, sent, version, now.time);
+    fn take_lead(&mut self, won: Won, now: Now) {
+        log::info!("leading as {}", show(won.epoch));
+        let mut lead = Lead::new(&self.settings, self.tree.clone(), won, now.time);
         lead.take_up(self.tree.clone(), &self.admin_settings.settings);
         lead.limits = self.limits;
         lead.dark_before = std::mem::take(&mut self.leader_dark);
@@ -287,50 +287,49 @@
             self.election_calls(vec![(call, Step::End)]);
             self.calls.set_rate(state_rate(&self.settings, false));
             self.cloud.clear();
-            let gone =
-                (self.job_cache.leader.as_ref()).is_some_and(|(_, r)| r.lease == lead.lease_id);
-            if gone {
-                self.job_cache.leader = None;
-            }
+            self.job_cache.forget_leader(lead.lease_id);
         }
     }
 
-    /// UserRequests everything that is watched, from the start.
+    /// Reads everything that is watched, from the start.
     fn fill(&mut self) {
         self.filling = true;
         let call = StateCall::List(SHARED.into(), None);
         self.calls.call(Urgency::User, call, Purpose::Fill(None));
     }
 
-    fn filled(&mut self, first: Option<Version>, answer: StateAnswer, now: Now) {
+    fn filled(&mut self, fill: Option<Fill>, answer: StateAnswer, now: Now) {
         let StateAnswer::Page(page) = answer else {
             self.filling = false;
             self.next_fill = now.time + Span(250);
             return;
         };
-        let first = first.unwrap_or(page.revision);
+        let mut fill = fill.unwrap_or(Fill {
+            first: page.revision,
+            leader_keys: Vec::new(),
+        });
         let last = page.items.last().map(|i| i.key.clone());
-        self.learn_page(&page, first, now);
+        self.learn_page(&page, &mut fill, now);
         if page.more && last.is_some() {
             let call = StateCall::List(SHARED.into(), last);
-            let purpose = Purpose::Fill(Some(first));
+            let purpose = Purpose::Fill(Some(fill));
             self.calls.call(Urgency::User, call, purpose);
             return;
         }
         self.filling = false;
         self.job_cache.complete = true;
-        self.knows_to(first);
-        self.out.push(Output::Watch(first));
+        self.knows_to(fill.first);
+        self.out.push(Output::Watch(fill.first));
     }
 
-    fn learn_page(&mut self, page: &Page<Value>, first: Version, now: Now) {
-        let mut has_leader = false;
+    fn learn_page(&mut self, page: &Page<Value>, fill: &mut Fill, now: Now) {
         for item in &page.items {
-            has_leader |= item.key == LEADER;
+            fill.leader_keys.extend(LeaderKey::of_name(&item.key));
             self.job_cache.learn(&item.key, item.version, &item.value);
         }
-        if !has_leader && !page.more && first >= self.job_cache.leader_seen {
-            self.job_cache.learn_leader(first, None);
+        let missing = |key: &LeaderKey| !page.more && !fill.leader_keys.contains(key);
+        for key in LeaderKey::ALL.into_iter().filter(missing) {
+            self.job_cache.learn_leader(key, fill.first, None);
         }
         self.take_learned(now);
     }
@@ -351,7 +350,7 @@
         if let Some((version, settings)) = self.job_cache.admin.take() {
             self.take_up(version, settings);
         }
-        if let Some((_, record)) = &self.job_cache.leader {
+        if let Some((_, record)) = self.job_cache.leader() {
             self.election.hear_epoch(record.epoch, now.time);
         }
     }
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -26,9 +26,17 @@
 //! that a node gave in an earlier life and has forgotten, too: it acknowledges in a later one. So a
 //! node that has just started need not wait before it campaigns, and after a crash of all nodes
 //! workers are answered again that much sooner.
+//!
+//! A leader of a version that must not lead any more (see `version_gate`) is superseded before its lease
+//! runs out. Its key is taken off its lease and stays, so that no process of that version sees a vacancy;
+//! that alone makes all its writes fail. From then on leaders hold another key. A node that campaigns for
+//! that first ends the lease of the superseded leader, so whoever wins, the leases of all earlier leaders
+//! have ended before. By its own clock a superseded leader may go on for [`LEASE`] after that; the fence
+//! of a new leader comes later still.
 
 use crate::io::{StateAnswer, StateCall, Value};
-use crate::records::{EpochRecord, LeaderRecord, EPOCH, LEADER};
+use crate::records::{EpochRecord, LeaderKey, LeaderRecord, EPOCH, LEADER};
+use crate::recovery::put;
 use crate::units::{Span, Time};
 use rudderreel_wire::ids::{Epoch, LeaseId, NodeName, Version};
 use rudderreel_wire::state::{Change, Condition, Transaction};
@@ -47,6 +55,8 @@
 pub const CONTACT: Span = Span(1_100);
 /// How often the lease is renewed.
 const RENEW: Span = Span(750);
+/// An outdated leader's key is taken off its lease so often, until that is seen.
+const SUPERSEDE: Span = Span(300);
 /// How often a node looks at the leader's key.
 const LOOK: Span = Span(1_000);
 /// A node that heard nothing from the state service for so long counts it as silent.
@@ -55,8 +65,8 @@
 /// What a call of the election is for.
 #[derive(Clone, Debug)]
 pub enum Step {
-    /// Read the leader's key.
-    Look,
+    /// Read a leader's key.
+    Look(LeaderKey),
     /// Read the epoch.
     ReadEpoch,
     /// Take a lease.
@@ -69,6 +79,47 @@
     Renew(LeaseId),
     /// End a lease; nothing hangs on the outcome.
     End,
+    /// Take an outdated leader's key off its lease; what came of it is read from the key.
+    Supersede,
+    /// End the lease of a superseded leader.
+    EndSuperseded,
+}
+
+/// The leader's seat, as a node knows it.
+#[derive(Clone, Copy, Debug)]
+pub enum Seat<'a> {
+    /// Nobody holds the key that leaders hold. If that is not the common one any more, what the common
+    /// one holds, with its version.
+    Vacant(Option<&'a (Version, LeaderRecord)>),
+    /// Somebody leads, by this key.
+    Taken(LeaderKey),
+    /// The leader, with the version of the common key, must not lead any more.
+    Outdated(&'a (Version, LeaderRecord)),
+}
+
+impl Seat<'_> {
+    /// The key that leaders hold.
+    fn key(&self) -> LeaderKey {
+        match self {
+            Self::Vacant(Some(_)) => LeaderKey::Gated,
+            Self::Taken(key) => *key,
+            Self::Vacant(None) | Self::Outdated(_) => LeaderKey::Common,
+        }
+    }
+}
+
+/// How a node came to lead.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Won {
+    /// The epoch.
+    pub epoch: Epoch,
+    /// The lease that the leader's key hangs on.
+    pub lease: LeaseId,
+    /// When the call that took the lease was sent.
+    pub lease_sent: Time,
+    /// The leader's key, and its version.
+    pub key: LeaderKey,
+    pub version: Version,
 }
 
 /// What the rest of the core must do.
@@ -76,10 +127,10 @@
 pub enum Verdict {
     /// Nothing.
     Nothing,
-    /// The leader's key as read.
-    Leader(Option<(Version, LeaderRecord)>),
+    /// A leader's key as read.
+    Leader(LeaderKey, Option<(Version, LeaderRecord)>),
     /// This node leads from now on.
-    Won(Epoch, LeaseId, Time, Version),
+    Won(Won),
     /// This node no longer leads.
     Lost,
 }
@@ -111,6 +162,11 @@
     leader_heard: Option<Time>,
     epoch_since: Time,
     words: BTreeMap<NodeName, Time>,
+    /// The key that this node campaigns for.
+    key: LeaderKey,
+    /// The version of the common key, if leaders hold another one.
+    superseded: Option<Version>,
+    next_supersede: Time,
 }
 
 impl Election {
@@ -137,6 +193,9 @@
             leader_heard: None,
             epoch_since: Time(0),
             words: BTreeMap::new(),
+            key: LeaderKey::Common,
+            superseded: None,
+            next_supersede: Time(0),
         }
     }
 
@@ -234,11 +293,11 @@
         self.nodes / 2 + 1
     }
 
-    /// Calls that are due. `leader` is the leader's key as cached, `mine` the lease held.
+    /// Calls that are due. `mine` is the lease held.
     pub fn tick(
         &mut self,
         now: Time,
-        leader: Option<&LeaderRecord>,
+        seat: Seat<'_>,
         mine: Option<LeaseId>,
     ) -> Vec<(StateCall, Step)> {
         let mut calls = Vec::new();
@@ -252,19 +311,15 @@
         }
         if now >= self.next_look {
             self.next_look = now + LOOK;
-            calls.push((StateCall::Get(LEADER.into()), Step::Look));
+            let key = seat.key();
+            calls.push((StateCall::Get(key.name().into()), Step::Look(key)));
         }
-        self.maybe_campaign(now, leader, &mut calls);
+        self.maybe_campaign(now, seat, &mut calls);
         calls
     }
 
-    fn maybe_campaign(
-        &mut self,
-        now: Time,
-        leader: Option<&LeaderRecord>,
-        calls: &mut Vec<(StateCall, Step)>,
-    ) {
-        if leader.is_some() {
+    fn maybe_campaign(&mut self, now: Time, seat: Seat<'_>, calls: &mut Vec<(StateCall, Step)>) {
+        if let Seat::Taken(_) = seat {
             self.vacant_since = None;
             return;
         }
@@ -273,12 +328,51 @@
             && now >= self.word_until
             && (now >= self.hold_off || !self.epoch_read)
             && self.state_ok(now);
-        if ready && !self.campaigning {
-            self.campaigning = true;
-            calls.push((StateCall::Get(EPOCH.into()), Step::ReadEpoch));
+        if !ready || self.campaigning {
+            return;
+        }
+        match seat {
+            Seat::Outdated(leader) => {
+                if now >= self.next_supersede {
+                    self.next_supersede = now + SUPERSEDE;
+                    calls.push((supersede(leader), Step::Supersede));
+                }
+            }
+            Seat::Vacant(superseded) => calls.push(self.campaign(seat.key(), superseded)),
+            Seat::Taken(_) => {}
+        }
+    }
+
+    /// Begins a campaign for a key.
+    fn campaign(
+        &mut self,
+        key: LeaderKey,
+        superseded: Option<&(Version, LeaderRecord)>,
+    ) -> (StateCall, Step) {
+        self.campaigning = true;
+        self.key = key;
+        self.superseded = superseded.map(|(version, _)| *version);
+        let lease = superseded.and_then(|(_, record)| record.lease_to_end());
+        match lease {
+            Some(lease) => (StateCall::EndLease(lease), Step::EndSuperseded),
+            None => (StateCall::Get(EPOCH.into()), Step::ReadEpoch),
         }
     }
 
+    /// The answer to the end of a superseded leader's lease. The campaign goes on only once it has surely
+    /// ended.
+    fn superseded_has_ended(
+        &mut self,
+        now: Time,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
+        if !matches!(answer, StateAnswer::Done | StateAnswer::Missing) {
+            return self.give_up(now);
+        }
+        let call = StateCall::Get(EPOCH.into());
+        (Verdict::Nothing, vec![(call, Step::ReadEpoch)])
+    }
+
     /// Takes in the answer to a call. `key` is the leader's key as cached.
     pub fn answered(
         &mut self,
@@ -288,7 +382,7 @@
         answer: StateAnswer,
     ) -> (Verdict, Vec<(StateCall, Step)>) {
         match step {
-            Step::Look => self.looked(now, answer),
+            Step::Look(key) => self.looked(now, key, answer),
             Step::ReadEpoch => self.epoch_was_read(now, answer),
             Step::TakeLease => self.lease_taken(now, sent, answer),
             Step::Claim(lease, since, epoch) => self.claimed(now, lease, since, epoch, answer),
@@ -304,11 +398,17 @@
                     }
                 }
             }
-            Step::End => (Verdict::Nothing, vec![]),
+            Step::End | Step::Supersede => (Verdict::Nothing, vec![]),
+            Step::EndSuperseded => self.superseded_has_ended(now, answer),
         }
     }
 
-    fn looked(&mut self, now: Time, answer: StateAnswer) -> (Verdict, Vec<(StateCall, Step)>) {
+    fn looked(
+        &mut self,
+        now: Time,
+        key: LeaderKey,
+        answer: StateAnswer,
+    ) -> (Verdict, Vec<(StateCall, Step)>) {
         match answer {
             StateAnswer::Found(item) => {
                 let record = LeaderRecord::deserialize_from(&item.value);
@@ -316,17 +416,22 @@
                     self.hear_epoch(record.epoch, now);
                     self.epoch_read = true;
                 }
-                let verdict = Verdict::Leader(record.clone().map(|r| (item.version, r)));
+                let verdict = Verdict::Leader(key, record.clone().map(|r| (item.version, r)));
                 // A leader by this node's name on a lease that is not held here is what an
                 // earlier life of this process left behind: nobody acts for it any more.
                 match record {
-                    Some(r) if r.node == self.me && !self.claim_unsure && !self.campaigning => {
+                    Some(r)
+                        if r.node == self.me
+                            && !r.superseded
+                            && !self.claim_unsure
+                            && !self.campaigning =>
+                    {
                         (verdict, vec![(StateCall::EndLease(r.lease), Step::End)])
                     }
                     _ => (verdict, vec![]),
                 }
             }
-            StateAnswer::Missing => (Verdict::Leader(None), vec![]),
+            StateAnswer::Missing => (Verdict::Leader(key, None), vec![]),
             _ => (Verdict::Nothing, vec![]),
         }
     }
@@ -379,12 +484,14 @@
     }
 
     fn claim(&self, lease: LeaseId, epoch: Epoch) -> Transaction<Value> {
-        let record = LeaderRecord {
-            node: self.me.clone(),
-            epoch,
-            lease,
-        };
-        epoch_change(&record, Version(0), self.epoch_version)
+        let record = LeaderRecord::new(self.me.clone(), epoch, lease);
+        let mut claim = epoch_change(self.key, &record, Version(0), self.epoch_version);
+        let common = self.superseded.map(|version| Condition {
+            key: LEADER.into(),
+            version,
+        });
+        claim.conditions.extend(common);
+        claim
     }
 
     fn claimed(
@@ -400,7 +507,7 @@
             // The claim may have been carried out, or may yet be: no word until that is known.
             StateAnswer::Unknown => {
                 self.claim_unsure = true;
-                let call = StateCall::Get(LEADER.into());
+                let call = StateCall::Get(self.key.name().into());
                 (
                     Verdict::Nothing,
                     vec![(call, Step::Verify(lease, since, epoch))],
@@ -431,7 +538,7 @@
             self.claim_unsure = false;
             return self.drop_claim(now, lease);
         }
-        let call = StateCall::Get(LEADER.into());
+        let call = StateCall::Get(self.key.name().into());
         (
             Verdict::Nothing,
             vec![(call, Step::Verify(lease, since, epoch))],
@@ -452,7 +559,14 @@
         self.vacant_since = None;
         self.next_renew = now + RENEW;
         self.hear_epoch(epoch, now);
-        (Verdict::Won(epoch, lease, since, version), vec![])
+        let won = Won {
+            epoch,
+            lease,
+            lease_sent: since,
+            key: self.key,
+            version,
+        };
+        (Verdict::Won(won), vec![])
     }
 
     fn drop_claim(&mut self, now: Time, lease: LeaseId) -> (Verdict, Vec<(StateCall, Step)>) {
@@ -468,8 +582,22 @@
     }
 }
 
+/// The commit that takes an outdated leader's key off its lease. Its version changes, so no write of
+/// that leader is carried out after it.
+fn supersede((version, record): &(Version, LeaderRecord)) -> StateCall {
+    let tombstone = record.tombstone(Some(record.lease));
+    StateCall::Commit(Transaction {
+        conditions: vec![Condition {
+            key: LEADER.into(),
+            version: *version,
+        }],
+        changes: vec![put(LEADER.into(), &tombstone)],
+    })
+}
+
 /// The commit that takes the lead or raises the epoch.
 pub fn epoch_change(
+    key: LeaderKey,
     record: &LeaderRecord,
     leader_version: Version,
     epoch_version: Version,
@@ -480,7 +608,7 @@
     Transaction {
         conditions: vec![
             Condition {
-                key: LEADER.into(),
+                key: key.name().into(),
                 version: leader_version,
             },
             Condition {
@@ -490,7 +618,7 @@
         ],
         changes: vec![
             Change::Put {
-                key: LEADER.into(),
+                key: key.name().into(),
                 value: serde_json::to_value(record).unwrap_or_default(),
                 lease: Some(record.lease),
             },
--- a/crates/core/src/election/tests.rs
+++ b/crates/core/src/election/tests.rs
@@ -8,11 +8,7 @@
 }
 
 fn leader(epoch: u64) -> StateAnswer {
-    let record = LeaderRecord {
-        node: "n0".into(),
-        epoch: Epoch(epoch),
-        lease: LeaseId(1),
-    };
+    let record = LeaderRecord::new("n0".into(), Epoch(epoch), LeaseId(1));
     StateAnswer::Found(Item {
         key: LEADER.into(),
         value: serde_json::to_value(record).expect("a value"),
@@ -26,7 +22,7 @@
     let mut node = node();
     node.jobs_read = true;
     node.note_state(NOW, &leader(epoch));
-    node.answered(NOW, NOW, Step::Look, leader(epoch));
+    node.answered(NOW, NOW, Step::Look(LeaderKey::Common), leader(epoch));
     let later = NOW + Span(2_000);
     node.note_state(later, &StateAnswer::Refused);
     (node, later)
@@ -48,7 +44,7 @@
 fn no_word_while_the_state_service_answers() {
     let mut node = node();
     node.note_state(NOW, &leader(4));
-    node.answered(NOW, NOW, Step::Look, leader(4));
+    node.answered(NOW, NOW, Step::Look(LeaderKey::Common), leader(4));
     assert!(!node.give_word(NOW, Epoch(4), true));
 }
 
@@ -88,7 +84,7 @@
     assert!(node.give_word(now, Epoch(4), true));
     node.note_state(now, &StateAnswer::Missing);
     let campaigns = |node: &mut Election, at: Time| {
-        let calls = node.tick(at, None, None);
+        let calls = node.tick(at, Seat::Vacant(None), None);
         calls
             .iter()
             .any(|(_, step)| matches!(step, Step::ReadEpoch))
@@ -129,5 +125,12 @@
         item.value["node"] = "n1".into();
     }
     let (verdict, _) = node.answered(NOW, NOW, step, found);
-    assert_eq!(verdict, Verdict::Won(Epoch(6), LeaseId(1), NOW, Version(3)));
+    let won = Won {
+        epoch: Epoch(6),
+        lease: LeaseId(1),
+        lease_sent: NOW,
+        key: LeaderKey::Common,
+        version: Version(3),
+    };
+    assert_eq!(verdict, Verdict::Won(won));
 }
--- a/crates/core/src/job_cache.rs
+++ b/crates/core/src/job_cache.rs
@@ -5,11 +5,13 @@
 
 use crate::dependencies::DependencyGraph;
 use crate::io::Value;
-use crate::records::{JobRecord, KnownRecord, LeaderRecord, ADMIN, CATALOG, JOBS, KNOWN, LEADER};
+use crate::records::{
+    JobRecord, KnownRecord, LeaderKey, LeaderRecord, ADMIN, CATALOG, JOBS, KNOWN, MACHINE_TYPES,
+};
 use crate::units::Wall;
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::cloud::Catalog;
-use rudderreel_wire::ids::{JobId, NodeName, Version};
+use rudderreel_wire::ids::{JobId, LeaseId, NodeName, Version};
 use rudderreel_wire::job::JobState;
 use rudderreel_wire::peer::CancelledJob;
 use rudderreel_wire::state::Event;
@@ -33,17 +35,32 @@
     }
 }
 
+/// A leader's key as it is known.
+#[derive(Default)]
+struct HeldKey {
+    /// What it holds, with its version.
+    record: Option<(Version, LeaderRecord)>,
+    /// The newest revision at which it is known.
+    seen: Version,
+}
+
 /// The cache.
 #[derive(Default)]
 pub struct JobCache {
     /// Jobs by id.
     pub jobs: BTreeMap<JobId, KnownJob>,
-    /// The leader's key, with its version.
-    pub leader: Option<(Version, LeaderRecord)>,
-    /// The newest revision at which the leader's key is known.
-    pub leader_seen: Version,
+    /// The leader's key that every version reads.
+    common_leader: HeldKey,
+    /// The leader's key behind the version gate.
+    gated_leader: HeldKey,
     /// Machine types as a leader has kept them.
     pub catalog: Option<Catalog>,
+    /// Whether they are where versions that know no dependencies read them.
+    pub catalog_for_all: bool,
+    /// Whether they are where only later versions read them (see `version_gate`).
+    pub catalog_moved: bool,
+    /// Whether a job was seen that depends on others.
+    pub dependencies_seen: bool,
     /// Operators' settings that have yet to be taken up.
     pub admin: Option<(Version, AdminSettings)>,
     /// Whether the first read is complete.
@@ -78,6 +95,7 @@
         if record.state == JobState::Cancelled {
             self.cancelled.insert(version, id.clone());
         }
+        self.dependencies_seen |= record.is_dependent();
         self.changed.push(id.clone());
         self.jobs.insert(id.clone(), KnownJob { version, record });
         self.update_graph(&id, before);
@@ -138,20 +156,69 @@
             .collect()
     }
 
-    /// Takes in the leader's key as read at a revision.
-    pub fn learn_leader(&mut self, revision: Version, record: Option<(Version, LeaderRecord)>) {
-        if revision >= self.leader_seen {
-            self.leader_seen = revision;
-            self.leader = record;
+    /// Which key the leader holds.
+    pub fn leader_key(&self) -> LeaderKey {
+        match self.superseded() {
+            Some(_) => LeaderKey::Gated,
+            None => LeaderKey::Common,
+        }
+    }
+
+    /// Who leads, with the version of the key that it holds.
+    pub fn leader(&self) -> Option<&(Version, LeaderRecord)> {
+        self.held_key(self.leader_key()).record.as_ref()
+    }
+
+    /// The common key with its version, once the leader's key is the other one.
+    pub fn superseded(&self) -> Option<&(Version, LeaderRecord)> {
+        let record = self.common_leader.record.as_ref();
+        record.filter(|(_, record)| record.superseded)
+    }
+
+    fn held_key(&self, key: LeaderKey) -> &HeldKey {
+        match key {
+            LeaderKey::Common => &self.common_leader,
+            LeaderKey::Gated => &self.gated_leader,
+        }
+    }
+
+    /// Takes in a leader's key as read at a revision.
+    pub fn learn_leader(
+        &mut self,
+        key: LeaderKey,
+        revision: Version,
+        record: Option<(Version, LeaderRecord)>,
+    ) {
+        let held = match key {
+            LeaderKey::Common => &mut self.common_leader,
+            LeaderKey::Gated => &mut self.gated_leader,
+        };
+        if revision >= held.seen {
+            held.seen = revision;
+            held.record = record;
+        }
+    }
+
+    /// Takes in a leader's key as it was read by itself, at a revision that was not told.
+    pub fn learn_leader_read(&mut self, key: LeaderKey, record: Option<(Version, LeaderRecord)>) {
+        let seen = self.held_key(key).seen;
+        let revision = record.as_ref().map_or(seen, |(version, _)| *version);
+        self.learn_leader(key, revision, record);
+    }
+
+    /// A leader of this node has stopped: its key is gone, or will be.
+    pub fn forget_leader(&mut self, lease: LeaseId) {
+        for held in [&mut self.common_leader, &mut self.gated_leader] {
+            held.record.take_if(|(_, record)| record.lease == lease);
         }
     }
 
     /// Takes in a key of the shared prefix.
     pub fn learn(&mut self, key: &str, version: Version, value: &Value) {
-        if key == LEADER {
+        if let Some(leader_key) = LeaderKey::of_name(key) {
             match LeaderRecord::deserialize_from(value) {
-                Some(record) => self.learn_leader(version, Some((version, record))),
-                None => log::error!("unreadable leader record"),
+                Some(record) => self.learn_leader(leader_key, version, Some((version, record))),
+                None => log::error!("unreadable leader record {key}"),
             }
         } else if key == ADMIN {
             match serde_json::from_value(value.clone()) {
@@ -160,6 +227,11 @@
             }
         } else if key == CATALOG {
             self.catalog = serde_json::from_value(value.clone()).ok();
+            self.catalog_for_all = true;
+        } else if key == MACHINE_TYPES {
+            // Null if they are too large to be stored.
+            self.catalog = serde_json::from_value(value.clone()).ok();
+            self.catalog_moved = true;
         } else if let Some(node) = key.strip_prefix(KNOWN) {
             match serde_json::from_value(value.clone()) {
                 Ok(record) => drop(self.known.insert(node.into(), record)),
@@ -181,14 +253,17 @@
                 value,
                 version,
             } => self.learn(key, *version, value),
-            Event::Delete { key, version } if key == LEADER => self.learn_leader(*version, None),
-            Event::Delete { key, .. } => log::debug!("{key} was deleted"),
+            Event::Delete { key, .. } if key == CATALOG => self.catalog_for_all = false,
+            Event::Delete { key, version } => match LeaderKey::of_name(key) {
+                Some(leader_key) => self.learn_leader(leader_key, *version, None),
+                None => log::debug!("{key} was deleted"),
+            },
         }
     }
 }
 
 impl LeaderRecord {
-    /// UserRequests a record, if it is one.
+    /// Reads a record, if it is one.
     pub fn deserialize_from(value: &Value) -> Option<Self> {
         serde_json::from_value(value.clone()).ok()
     }
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -2,14 +2,16 @@
 
 use crate::admin::{Latency, StopNote};
 use crate::capacity::Rentals;
-use crate::election::{LEASE, WORD};
+use crate::election::{Won, LEASE, WORD};
 use crate::job::Job;
 use crate::placement_log::PlacementLog;
 use crate::placement_tracking::Machine;
+use crate::records::LeaderKey;
 use crate::reports::DIRECT_RATE;
 use crate::store_limits::StoreLimits;
 use crate::tree::TeamTree;
 use crate::units::{Resources, Span, Time, Wall};
+use crate::version_gate::GateStep;
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::cloud::{Catalog, MachineType};
 use rudderreel_wire::ids::{
@@ -29,8 +31,11 @@
     pub lease_id: LeaseId,
     /// Until when the lease is surely alive.
     pub lease_until: Time,
-    /// The version of the leader's key, on which every write depends.
+    /// The leader's key, and its version, on which every write depends.
+    pub key: LeaderKey,
     pub version: Version,
+    /// The version of the epoch's key.
+    pub epoch_version: Version,
     /// Since when it leads.
     pub since: Time,
     /// When each node last acknowledged the epoch, by the sending of the heartbeat.
@@ -75,6 +80,8 @@
     pub limits: StoreLimits,
     /// Jobs that are being cancelled with what they depend on.
     pub cascading: BTreeSet<JobId>,
+    /// What is under way to close the version gate.
+    pub gate: GateStep,
     /// What is recorded.
     pub placement_log: PlacementLog,
     /// Whether something may wait to be recorded, so that the log is looked through only then.
@@ -143,21 +150,15 @@
 
 impl Lead {
     /// A leader that has just won.
-    pub fn new(
-        settings: &Settings,
-        tree: TeamTree,
-        epoch: Epoch,
-        lease_id: LeaseId,
-        lease_sent: Time,
-        version: Version,
-        now: Time,
-    ) -> Self {
+    pub fn new(settings: &Settings, tree: TeamTree, won: Won, now: Time) -> Self {
         let workers = &settings.params.workers;
         Self {
-            epoch,
-            lease_id,
-            lease_until: alive_until(lease_sent),
-            version,
+            epoch: won.epoch,
+            lease_id: won.lease,
+            lease_until: alive_until(won.lease_sent),
+            key: won.key,
+            version: won.version,
+            epoch_version: won.version,
             since: now,
             acks: BTreeMap::new(),
             fence: None,
@@ -180,6 +181,7 @@
             done_aims: aims(settings, "finished"),
             limits: StoreLimits::of(&settings.params.state),
             cascading: BTreeSet::new(),
+            gate: GateStep::Idle,
             placement_log: PlacementLog::default(),
             unrecorded: true,
             period: PERIOD,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 mod tree;
 pub mod units;
 mod user_requests;
+mod version_gate;
 mod workers;
 
 mod commands;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -1,7 +1,7 @@
 //! What the nodes tell one another of themselves, and what the load balancer is told.
 
 use crate::core::Core;
-use crate::election::{CONTACT, WORD};
+use crate::election::{CONTACT, LEASE, WORD};
 use crate::io::{Output, ReqId};
 use crate::lead::Lead;
 use crate::units::{Now, Span, Time};
@@ -137,12 +137,20 @@
     /// acknowledging.
     pub(crate) fn note_fence(&mut self, now: Time) {
         let majority = self.election.majority();
+        let superseding = !self.job_cache.complete || self.job_cache.dependencies_in_use();
         if let Some(lead) = self.lead.as_mut() {
             let acks = lead.acks.values().filter(|&&sent| now < sent + CONTACT);
             if acks.count() + 1 < majority {
                 lead.fence = None;
-            } else {
-                lead.fence.get_or_insert(now + WORD.with_drift());
+            } else if lead.fence.is_none() {
+                let fence = now + WORD.with_drift();
+                // A leader that was superseded goes on by its own clock for so long.
+                let superseded_until = lead.since + LEASE.with_drift();
+                lead.fence = Some(if superseding {
+                    fence.max(superseded_until)
+                } else {
+                    fence
+                });
             }
         }
     }
--- a/crates/core/src/placement_log.rs
+++ b/crates/core/src/placement_log.rs
@@ -14,7 +14,7 @@
 use crate::job::Job;
 use crate::lead::Lead;
 use crate::placement_tracking::{Entry, Machine, Phase};
-use crate::records::{page_key, MachineLine, PageId, PageRecord, LEADER};
+use crate::records::{page_key, MachineLine, PageId, PageRecord};
 use crate::recovery::{condition, put, LeadStep};
 use crate::store_limits::StoreLimits;
 use crate::task_set::TaskSet;
@@ -581,11 +581,7 @@
         };
         let started = lead.page_written(page, open);
         self.push_starts(&started, now);
-        let leaderless =
-            matches!(&answer, StateAnswer::Conflict(k) if k.iter().any(|k| k == LEADER));
-        if leaderless {
-            self.lost_by(&answer);
-        }
+        self.lost_by(&answer);
     }
 }
 
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -7,7 +7,9 @@
 //! | `pub/admin` | any node, for an administrator | operators' settings |
 //! | `epoch` | the leader | the last epoch given out |
 //! | `book/<page>` | the leader, before a start is sent | tasks that may be on machines; tasks that are done |
-//! | `pub/catalog` | the leader | machine types as last fetched |
+//! | `pub/catalog` | the leader | machine types as last fetched, until jobs depend on others |
+//! | `pub/machine-types` | the leader | the same from then on (see `version_gate`) |
+//! | `pub/seat` | the leader, on its lease | what `pub/leader` held, from then on |
 //! | `pub/known/<node>` | that node, while links between nodes fail | which cancellations it knows |
 
 use crate::store_limits::StoreLimits;
@@ -22,8 +24,10 @@
 pub const SHARED: &str = "pub/";
 /// Prefix of jobs.
 pub const JOBS: &str = "pub/job/";
-/// The leader's key.
+/// The leader's key, which every version reads.
 pub const LEADER: &str = "pub/leader";
+/// The leader's key once jobs depend on others. Versions that know no dependencies don't read it.
+pub const SEAT: &str = "pub/seat";
 /// Operators' settings.
 pub const ADMIN: &str = "pub/admin";
 /// The epoch's key.
@@ -32,8 +36,13 @@
 pub const KNOWN: &str = "pub/known/";
 /// Prefix of the pages of the leader's placement log.
 pub const PLACEMENTS: &str = "book/";
-/// The catalog's key.
+/// The catalog's key, which every version reads.
 pub const CATALOG: &str = "pub/catalog";
+/// The catalog's key once jobs depend on others. Versions that know no dependencies don't read it.
+pub const MACHINE_TYPES: &str = "pub/machine-types";
+/// What this version understands of the records: 2 since jobs may depend on others. A leader's record
+/// without it is that of a version that knows no dependencies.
+pub const RECORD_FORMAT: u32 = 2;
 
 /// A job's key.
 pub fn job_key(id: &JobId) -> String {
@@ -61,28 +70,98 @@
 
 /// A job. The submission is dropped once the job is done.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredJob", into = "StoredJob")]
 pub struct JobRecord {
     /// Its state: queued while it is neither done nor cancelled.
     pub state: JobState,
     /// When it was submitted.
     pub submitted: Wall,
     /// When its user withdrew it.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
     pub cancelled: Option<Wall>,
     /// The dependency whose cancellation cancelled it, if its user did not.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
     pub cancelled_by: Option<JobId>,
     /// When it was done.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
     pub finished: Option<Wall>,
     /// How many tasks it has, kept after the submission is dropped.
-    #[serde(default)]
     pub tasks: u32,
     /// What was submitted.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
     pub spec: Option<JobSpec>,
 }
 
+/// A job's state as it is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+enum StoredState {
+    /// A state that every version knows.
+    Known(JobState),
+    /// Queued, with dependencies.
+    Dependent(DependentState),
+}
+
+/// The state of an unfinished job that depends on others. It is a word of its own so that a version
+/// that knows no dependencies can't read the record: such a version would drop them, start the job
+/// before they are done, and call it queued after they are cancelled. What it can't read it neither
+/// starts nor tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum DependentState {
+    #[serde(rename = "dependent")]
+    Queued,
+}
+
+/// A job's record as it is stored.
+#[derive(Serialize, Deserialize)]
+struct StoredJob {
+    state: StoredState,
+    submitted: Wall,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    cancelled: Option<Wall>,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    cancelled_by: Option<JobId>,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    finished: Option<Wall>,
+    #[serde(default)]
+    tasks: u32,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    spec: Option<JobSpec>,
+}
+
+impl From<JobRecord> for StoredJob {
+    fn from(record: JobRecord) -> Self {
+        let state = if !record.is_final() && record.is_dependent() {
+            StoredState::Dependent(DependentState::Queued)
+        } else {
+            StoredState::Known(record.state)
+        };
+        Self {
+            state,
+            submitted: record.submitted,
+            cancelled: record.cancelled,
+            cancelled_by: record.cancelled_by,
+            finished: record.finished,
+            tasks: record.tasks,
+            spec: record.spec,
+        }
+    }
+}
+
+impl From<StoredJob> for JobRecord {
+    fn from(stored: StoredJob) -> Self {
+        let state = match stored.state {
+            StoredState::Known(state) => state,
+            StoredState::Dependent(DependentState::Queued) => JobState::Queued,
+        };
+        Self {
+            state,
+            submitted: stored.submitted,
+            cancelled: stored.cancelled,
+            cancelled_by: stored.cancelled_by,
+            finished: stored.finished,
+            tasks: stored.tasks,
+            spec: stored.spec,
+        }
+    }
+}
+
 impl JobRecord {
     /// A job that has just been submitted.
     pub fn queued(spec: &JobSpec, submitted: Wall) -> Self {
@@ -128,12 +207,46 @@
         }
     }
 
+    /// Whether it depends on other jobs, as far as the submission is kept.
+    pub fn is_dependent(&self) -> bool {
+        let spec = self.spec.as_ref();
+        spec.is_some_and(|spec| !spec.dependencies.is_empty())
+    }
+
     /// Whether its state can't change any more.
     pub fn is_final(&self) -> bool {
         matches!(self.state, JobState::Done | JobState::Cancelled)
     }
 }
 
+/// Which key a leader holds. Every write of a leader depends on its version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LeaderKey {
+    /// The one that every version reads.
+    #[default]
+    Common,
+    /// The one behind the version gate.
+    Gated,
+}
+
+impl LeaderKey {
+    /// Both, for those who look through all keys.
+    pub const ALL: [Self; 2] = [Self::Common, Self::Gated];
+
+    /// The one of a name.
+    pub fn of_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|key| key.name() == name)
+    }
+
+    /// The key.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Common => LEADER,
+            Self::Gated => SEAT,
+        }
+    }
+}
+
 /// Who leads.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
@@ -143,6 +256,53 @@
     pub epoch: Epoch,
     /// The lease that the key hangs on.
     pub lease: LeaseId,
+    /// What its version understands of the records; 0 for versions that know no dependencies.
+    #[serde(skip_serializing_if = "is_zero", default)]
+    pub format: u32,
+    /// Whether the key was taken off its lease for good, since the leader's key is another one now (see
+    /// `version_gate`). Then this is the last leader that held it.
+    #[serde(skip_serializing_if = "std::ops::Not::not", default)]
+    pub superseded: bool,
+}
+
+impl LeaderRecord {
+    /// The record of a leader of this version.
+    pub fn new(node: NodeName, epoch: Epoch, lease: LeaseId) -> Self {
+        Self {
+            node,
+            epoch,
+            lease,
+            format: RECORD_FORMAT,
+            superseded: false,
+        }
+    }
+
+    /// What stays in the common key when the leader's key is another one from now on. `lease` is one
+    /// that has yet to be ended before anybody follows, if there is such a one.
+    pub fn tombstone(&self, lease: Option<LeaseId>) -> Self {
+        Self {
+            lease: lease.unwrap_or(NO_LEASE),
+            superseded: true,
+            ..self.clone()
+        }
+    }
+
+    /// The lease that has to be ended before anybody follows a leader that was superseded.
+    pub fn lease_to_end(&self) -> Option<LeaseId> {
+        (self.superseded && self.lease != NO_LEASE).then_some(self.lease)
+    }
+
+    /// Whether its version knows dependencies.
+    pub fn knows_dependencies(&self) -> bool {
+        self.format >= RECORD_FORMAT
+    }
+}
+
+/// No lease of the state service.
+const NO_LEASE: LeaseId = LeaseId(0);
+
+fn is_zero(format: &u32) -> bool {
+    *format == 0
 }
 
 /// Which cancellations a node knows, for nodes that it can't reach.
--- a/crates/core/src/records/tests.rs
+++ b/crates/core/src/records/tests.rs
@@ -74,9 +74,14 @@
         let value = serde_json::to_value(record).expect("JSON");
         serde_json::from_value(value).expect("production reads it")
     };
+    let mut spec = with_dependencies();
+    spec.dependencies.clear();
+    let independent = read(&JobRecord::queued(&spec, Wall(5)));
+    assert_eq!(
+        (independent.state, independent.tasks),
+        (JobState::Queued, 16)
+    );
     let queued = JobRecord::queued(&with_dependencies(), Wall(5));
-    assert_eq!(read(&queued).state, JobState::Queued);
-    assert_eq!(read(&queued).tasks, 16);
     let by: JobId = "wk-000398".parse().expect("an id");
     let cancelled = read(&queued.cancelled(Wall(9), Some(&by), &LIMITS));
     assert_eq!(
@@ -91,6 +96,41 @@
     );
 }
 
+/// It would drop the dependencies, so it must not take an unfinished job that has some for one that has
+/// none, whatever becomes of the record.
+#[test]
+fn production_can_not_read_an_unfinished_job_that_has_dependencies() {
+    let queued = JobRecord::queued(&with_dependencies(), Wall(5));
+    let value = serde_json::to_value(&queued).expect("JSON");
+    assert!(serde_json::from_value::<ProductionRecord>(value.clone()).is_err());
+    let read: JobRecord = serde_json::from_value(value).expect("this version reads it");
+    assert_eq!(read, queued);
+}
+
+/// What was written between the two is read: with dependencies, and called pending.
+#[test]
+fn dependents_that_were_stored_as_pending_are_read() {
+    let mut value = json!({"state":"pending","submitted":5,"tasks":16,"spec":submission()});
+    value["spec"]["awaits"] = json!(["wk-000398", "wk-000405"]);
+    let read: JobRecord = serde_json::from_value(value).expect("a record");
+    assert_eq!(read, JobRecord::queued(&with_dependencies(), Wall(5)));
+}
+
+/// Production reads a leader's record of this version, and one of production's says that it is.
+#[test]
+fn leaders_of_either_version_are_told_apart() {
+    let current = LeaderRecord::new(NodeName::from("deckhand-1"), Epoch(41), LeaseId(7));
+    let value = serde_json::to_value(&current).expect("JSON");
+    assert_eq!(
+        (&value["node"], &value["epoch"], &value["lease"]),
+        (&json!("deckhand-1"), &json!(41), &json!(7))
+    );
+    assert!(current.knows_dependencies());
+    let production = json!({"node":"deckhand-1","epoch":41,"lease":7});
+    let production: LeaderRecord = serde_json::from_value(production).expect("a record");
+    assert!(!production.knows_dependencies());
+}
+
 /// Without dependencies a submission is stored and forwarded as production does it, to the letter.
 #[test]
 fn a_job_without_dependencies_is_written_as_before() {
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -6,12 +6,9 @@
 use crate::job::Job;
 use crate::lead::Lead;
 use crate::placement_tracking::{Entry, Machine, Phase};
-use crate::records::{
-    job_key, JobRecord, LeaderRecord, PageId, PageRecord, CATALOG, JOBS, LEADER, PLACEMENTS,
-};
+use crate::records::{job_key, JobRecord, LeaderRecord, PageId, PageRecord, JOBS, PLACEMENTS};
 use crate::state_calls::Urgency;
 use crate::units::{Now, Span};
-use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{Epoch, JobId, Session, Version};
 use rudderreel_wire::state::{Change, Condition, Page, Transaction};
 use rudderreel_wire::worker::Cause;
@@ -35,6 +32,8 @@
     RaiseAgain(Epoch),
     /// Keep the catalog.
     Catalog,
+    /// Close the version gate.
+    Gate,
     /// Cancel jobs with what they depend on.
     Cascade(Vec<(JobId, JobRecord)>),
 }
@@ -77,6 +76,7 @@
             LeadStep::Raise(epoch) => self.raised(epoch, answer, now),
             LeadStep::RaiseAgain(epoch) => self.raise_seen(epoch, answer, now),
             LeadStep::Catalog => {}
+            LeadStep::Gate => self.gate_answered(answer, now),
             LeadStep::Cascade(jobs) => self.cascaded(jobs, answer, now),
         }
     }
@@ -175,6 +175,10 @@
         if !lead.ready || !lead.lease_valid(now.time) || lead.raised.1 {
             return;
         }
+        self.close_version_gate(now);
+        if (self.lead.as_ref()).is_none_or(|lead| lead.gate.is_changing_key()) {
+            return;
+        }
         self.flush_placement_log(now);
         self.flush_completions(now);
         self.flush_cancellations(now);
@@ -184,7 +188,7 @@
     pub(crate) fn rule_out_late_starts(&mut self, now: Now) {
         let wanted = self.lead.as_ref().is_some_and(|lead| {
             let may = lead.ready && lead.lease_valid(now.time) && !lead.raised.1;
-            may && lead.wants_fence(now.time)
+            may && !lead.gate.is_changing_key() && lead.wants_fence(now.time)
         });
         if wanted {
             self.raise_epoch(now);
@@ -294,16 +298,21 @@
 
     /// Whether an answer shows that this node no longer leads; if so, it stops.
     pub(crate) fn lost_by(&mut self, answer: &StateAnswer) -> bool {
-        let lost =
-            matches!(answer, StateAnswer::Conflict(keys) if keys.iter().any(|k| k == LEADER));
-        let raising = self.lead.as_ref().is_some_and(|l| l.raised.1);
-        if lost && !raising {
+        let lost = matches!(answer, StateAnswer::Conflict(keys) if self.names_leader_key(keys));
+        let changing = |lead: &Lead| lead.raised.1 || lead.gate.is_changing_key();
+        if lost && !self.lead.as_ref().is_some_and(changing) {
             self.step_down("its key has changed");
             return true;
         }
         false
     }
 
+    /// Whether the key that this leader holds is among some.
+    pub(crate) fn names_leader_key(&self, keys: &[String]) -> bool {
+        let held = self.lead.as_ref().map(|lead| lead.key.name());
+        keys.iter().any(|key| Some(key.as_str()) == held)
+    }
+
     /// Raises the epoch: whatever was sent under the old one and has not arrived never will.
     fn raise_epoch(&mut self, now: Now) {
         let Some(lead) = self.lead.as_mut() else {
@@ -311,13 +320,13 @@
         };
         lead.raised = (now.time, true);
         let epoch = Epoch(lead.epoch.0 + 1);
-        let record = LeaderRecord {
-            node: self.settings.node.clone(),
-            epoch,
-            lease: lead.lease_id,
-        };
-        // The epoch's key was last set in the same commit as the leader's.
-        let call = StateCall::Commit(epoch_change(&record, lead.version, lead.version));
+        let record = LeaderRecord::new(self.settings.node.clone(), epoch, lead.lease_id);
+        let call = StateCall::Commit(epoch_change(
+            lead.key,
+            &record,
+            lead.version,
+            lead.epoch_version,
+        ));
         self.lead_call(call, LeadStep::Raise(epoch));
     }
 
@@ -327,13 +336,16 @@
             StateAnswer::Refused => self.raise_over(),
             StateAnswer::Conflict(_) => self.step_down("its key has changed"),
             StateAnswer::NoSuchLease => self.step_down("its lease has ended"),
-            _ => {
-                let call = StateCall::Get(LEADER.into());
-                self.lead_call(call, LeadStep::RaiseAgain(epoch));
-            }
+            _ => self.read_raised(epoch),
         }
     }
 
+    fn read_raised(&mut self, epoch: Epoch) {
+        let key = self.lead.as_ref().map(|lead| lead.key).unwrap_or_default();
+        let call = StateCall::Get(key.name().into());
+        self.lead_call(call, LeadStep::RaiseAgain(epoch));
+    }
+
     fn raise_over(&mut self) {
         if let Some(lead) = self.lead.as_mut() {
             lead.raised.1 = false;
@@ -353,10 +365,7 @@
                 }
             }
             StateAnswer::Missing => self.step_down("its key is gone"),
-            _ => {
-                let call = StateCall::Get(LEADER.into());
-                self.lead_call(call, LeadStep::RaiseAgain(epoch));
-            }
+            _ => self.read_raised(epoch),
         }
     }
 
@@ -366,25 +375,10 @@
             log::info!("raised the epoch to {epoch}");
             lead.epoch = epoch;
             lead.version = version;
+            lead.epoch_version = version;
             lead.raised = (now.time, false);
         }
     }
-
-    /// Keeps the catalog for the other nodes.
-    pub(crate) fn keep_catalog(&mut self, catalog: &Catalog) {
-        let Some(lead) = &self.lead else {
-            return;
-        };
-        if !self.limits.fits(catalog) {
-            // What was stored before stays readable; without that, nodes ask the cloud themselves.
-            return log::warn!("the machine types are too large to be stored");
-        }
-        let call = StateCall::Commit(Transaction {
-            conditions: vec![lead.leading()],
-            changes: vec![put(CATALOG.into(), catalog)],
-        });
-        self.lead_call(call, LeadStep::Catalog);
-    }
 }
 
 impl Lead {
@@ -405,7 +399,7 @@
 
     /// The condition that every write of a leader depends on.
     pub fn leading(&self) -> Condition {
-        condition(LEADER.into(), self.version)
+        condition(self.key.name().into(), self.version)
     }
 
     /// Takes in a page after a take-over.
--- a/crates/core/src/report_forwarding.rs
+++ b/crates/core/src/report_forwarding.rs
@@ -155,7 +155,7 @@
     /// key change, but hears who leads a later epoch.
     pub(crate) fn near_leader(&self, now: Time) -> Option<NodeName> {
         let leads = |p: &PeerView| p.leads && now < p.heard + Span(1_500);
-        let recorded = self.job_cache.leader.as_ref().map(|(_, r)| &r.node);
+        let recorded = self.job_cache.leader().map(|(_, r)| &r.node);
         let named = recorded.filter(|node| self.peers.get(*node).is_some_and(leads));
         let heard = (self.peers.iter())
             .filter(|(_, p)| leads(p) && p.epoch >= self.election.epoch)
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -1,8 +1,10 @@
 //! A small leader for unit tests.
 
+use crate::election::Won;
 use crate::job::Job;
 use crate::lead::Lead;
 use crate::placement_tracking::{Entry, Machine, Phase};
+use crate::records::LeaderKey;
 use crate::tree::TeamTree;
 use crate::units::{Now, Time, Wall};
 use rudderreel_wire::ids::{Attempt, Epoch, LeaseId, MachineId, Version};
@@ -54,8 +56,14 @@
 pub fn lead() -> Lead {
     let settings = Settings::parse(SETTINGS).expect("settings");
     let tree = TeamTree::from_limits(&settings.params.teams);
-    let (epoch, at) = (Epoch(1), NOW.time);
-    let mut lead = Lead::new(&settings, tree, epoch, LeaseId(1), at, Version(1), at);
+    let won = Won {
+        epoch: Epoch(1),
+        lease: LeaseId(1),
+        lease_sent: NOW.time,
+        key: LeaderKey::Common,
+        version: Version(1),
+    };
+    let mut lead = Lead::new(&settings, tree, won, NOW.time);
     lead.ready = true;
     let catalog = serde_json::json!({"hulls": [{"label": "m4", "vcpus": 4.0, "gpus": 0.0,
         "memoryGb": 16.0, "cacheGb": 50.0, "fetchGbPerS": 1.0, "rate": 1.0,
--- /dev/null
+++ b/crates/core/src/version_gate.rs
@@ -0,0 +1,246 @@
+//! Keeps processes of versions that know no dependencies away from jobs that have some.
+//!
+//! After a rolling upgrade a process may come back with the version before. It would start dependents
+//! too early, call them queued after they are cancelled, and accept submissions without their
+//! dependencies. That nobody starts it is not relied on. Its code can't be changed, so the gate is made
+//! of what it reads:
+//!
+//! - It can't read the record of an unfinished job that has dependencies (see `records`), so it neither
+//!   starts such a job nor tells its user anything but 503.
+//! - It campaigns only when the common leader's key is gone. Once a job depends on another, the leader
+//!   moves to a key that such a version does not read, and leaves the common one behind for good. If a
+//!   process of such a version leads at that moment, any other node supersedes it (see `election`).
+//! - It accepts no submission before it has read the machine types, which only a leader asks the cloud
+//!   for. The leader moves them to a key that such a version does not read, too.
+//!
+//! While nothing depends on anything all versions serve and lead together.
+
+use crate::core::Core;
+use crate::election::Seat;
+use crate::io::{StateAnswer, StateCall, Value};
+use crate::job_cache::JobCache;
+use crate::lead::Lead;
+use crate::records::{LeaderKey, LeaderRecord, CATALOG, LEADER, MACHINE_TYPES, SEAT};
+use crate::recovery::{condition, put, LeadStep};
+use crate::units::{Now, Span, Time};
+use rudderreel_wire::cloud::Catalog;
+use rudderreel_wire::ids::{NodeName, Version};
+use rudderreel_wire::state::{Change, Transaction};
+
+/// A commit without an answer is repeated after so long.
+const AGAIN: Span = Span(200);
+
+/// What a leader is doing to close the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateStep {
+    /// Nothing.
+    Idle,
+    /// The commit that moves the leader's key is open. Until its outcome is known nothing else is
+    /// committed: whatever depends on the key may fail.
+    ChangingKey,
+    /// That commit had no usable answer: it may have been carried out, or may yet be. It is sent again
+    /// then; of all tries one at most is carried out.
+    ChangingKeyAgain(Time),
+    /// It failed: perhaps since an earlier try was carried out, which the key shows.
+    ReadingKey,
+    /// The commit that moves the machine types is open.
+    MovingCatalog,
+}
+
+impl GateStep {
+    /// Whether the key that every write depends on may be changing.
+    pub fn is_changing_key(self) -> bool {
+        matches!(
+            self,
+            Self::ChangingKey | Self::ChangingKeyAgain(_) | Self::ReadingKey
+        )
+    }
+}
+
+impl JobCache {
+    /// Whether jobs depend on others, now or earlier, as far as this node knows.
+    pub fn dependencies_in_use(&self) -> bool {
+        self.dependencies_seen || self.catalog_moved || self.superseded().is_some()
+    }
+
+    /// The leader's seat as it is known here.
+    pub fn seat(&self) -> Seat<'_> {
+        match self.leader() {
+            None => Seat::Vacant(self.superseded()),
+            Some(leader) if self.is_outdated(&leader.1) => Seat::Outdated(leader),
+            Some(_) => Seat::Taken(self.leader_key()),
+        }
+    }
+
+    /// Whether a leader is of a version that must not lead any more.
+    fn is_outdated(&self, record: &LeaderRecord) -> bool {
+        !record.knows_dependencies() && self.dependencies_in_use()
+    }
+}
+
+impl Lead {
+    /// Its record, as its key holds it.
+    fn record(&self, node: &NodeName) -> LeaderRecord {
+        LeaderRecord::new(node.clone(), self.epoch, self.lease_id)
+    }
+
+    /// The commit that moves the leader's key. Late writes that depend on the common one fail from then
+    /// on, and are sent again by the other.
+    fn change_key(&self, record: &LeaderRecord) -> Transaction<Value> {
+        Transaction {
+            conditions: vec![self.leading(), condition(SEAT.into(), Version(0))],
+            changes: vec![
+                put(LEADER.into(), &record.tombstone(None)),
+                Change::Put {
+                    key: SEAT.into(),
+                    value: serde_json::to_value(record).unwrap_or_default(),
+                    lease: Some(self.lease_id),
+                },
+            ],
+        }
+    }
+}
+
+impl Core {
+    /// Has the leader close the gate once a job depends on others.
+    pub(crate) fn close_version_gate(&mut self, now: Now) {
+        let Some(lead) = self.lead.as_ref() else {
+            return;
+        };
+        let due = match lead.gate {
+            GateStep::Idle => self.job_cache.dependencies_in_use(),
+            GateStep::ChangingKeyAgain(at) => now.time >= at,
+            _ => false,
+        };
+        if !due {
+            return;
+        }
+        if lead.key == LeaderKey::Common {
+            let record = lead.record(&self.settings.node);
+            let call = StateCall::Commit(lead.change_key(&record));
+            return self.gate_call(GateStep::ChangingKey, call);
+        }
+        if self.job_cache.catalog_moved && !self.job_cache.catalog_for_all {
+            return;
+        }
+        if let Some(catalog) = self.catalog.clone() {
+            let changes = vec![
+                put(MACHINE_TYPES.into(), &self.storable(&catalog)),
+                Change::Delete {
+                    key: CATALOG.into(),
+                },
+            ];
+            let call = StateCall::Commit(Transaction {
+                conditions: vec![lead.leading()],
+                changes,
+            });
+            self.gate_call(GateStep::MovingCatalog, call);
+        }
+    }
+
+    fn gate_call(&mut self, step: GateStep, call: StateCall) {
+        if let Some(lead) = self.lead.as_mut() {
+            lead.gate = step;
+            self.lead_call(call, LeadStep::Gate);
+        }
+    }
+
+    /// The answer to a call that closes the gate.
+    pub(crate) fn gate_answered(&mut self, answer: StateAnswer, now: Now) {
+        let step = self.lead.as_ref().map(|lead| lead.gate);
+        match step {
+            Some(GateStep::ChangingKey) => self.key_changed(answer, now),
+            Some(GateStep::ReadingKey) => self.key_was_read(answer, now),
+            Some(GateStep::MovingCatalog) => self.catalog_moved(answer),
+            _ => {}
+        }
+    }
+
+    fn set_gate(&mut self, step: GateStep) {
+        if let Some(lead) = self.lead.as_mut() {
+            lead.gate = step;
+        }
+    }
+
+    fn key_changed(&mut self, answer: StateAnswer, now: Now) {
+        match answer {
+            StateAnswer::Committed(version) => self.holds_gated_key(version),
+            StateAnswer::Refused => self.set_gate(GateStep::Idle),
+            StateAnswer::NoSuchLease => self.step_down("its lease has ended"),
+            StateAnswer::Conflict(_) => {
+                self.gate_call(GateStep::ReadingKey, StateCall::Get(SEAT.into()))
+            }
+            _ => self.set_gate(GateStep::ChangingKeyAgain(now.time + AGAIN)),
+        }
+    }
+
+    fn key_was_read(&mut self, answer: StateAnswer, now: Now) {
+        match answer {
+            StateAnswer::Found(item) => {
+                let record = LeaderRecord::deserialize_from(&item.value);
+                let lease = self.lead.as_ref().map(|lead| lead.lease_id);
+                if record.is_some_and(|record| Some(record.lease) == lease) {
+                    self.holds_gated_key(item.version);
+                } else {
+                    self.step_down("its key has changed");
+                }
+            }
+            StateAnswer::Missing => self.step_down("its key is gone"),
+            _ => self.set_gate(GateStep::ChangingKeyAgain(now.time + AGAIN)),
+        }
+    }
+
+    /// The key behind the gate is this leader's.
+    fn holds_gated_key(&mut self, version: Version) {
+        let Some(lead) = self.lead.as_mut() else {
+            return;
+        };
+        log::info!("the leader's key is {SEAT} from now on, since jobs depend on others");
+        lead.gate = GateStep::Idle;
+        lead.key = LeaderKey::Gated;
+        lead.version = version;
+        let record = lead.record(&self.settings.node);
+        let tombstone = record.tombstone(None);
+        let cache = &mut self.job_cache;
+        cache.learn_leader(LeaderKey::Common, version, Some((version, tombstone)));
+        cache.learn_leader(LeaderKey::Gated, version, Some((version, record)));
+    }
+
+    /// What was not carried out, or may not have been, is tried again.
+    fn catalog_moved(&mut self, answer: StateAnswer) {
+        if let StateAnswer::Committed(_) = answer {
+            self.job_cache.catalog_moved = true;
+            self.job_cache.catalog_for_all = false;
+        }
+        self.set_gate(GateStep::Idle);
+        self.lost_by(&answer);
+    }
+
+    /// Keeps the machine types for the other nodes. Once jobs depend on others they are stored where the
+    /// gate keeps them.
+    pub(crate) fn keep_catalog(&mut self, catalog: &Catalog) {
+        let Some(lead) = (self.lead.as_ref()).filter(|_| !self.job_cache.dependencies_in_use())
+        else {
+            return;
+        };
+        // What was stored before stays readable; without that, nodes ask the cloud themselves.
+        let Some(stored) = self.storable(catalog) else {
+            return;
+        };
+        let call = StateCall::Commit(Transaction {
+            conditions: vec![lead.leading()],
+            changes: vec![put(CATALOG.into(), &stored)],
+        });
+        self.lead_call(call, LeadStep::Catalog);
+    }
+
+    /// The machine types, if they are small enough to be stored.
+    fn storable(&self, catalog: &Catalog) -> Option<Value> {
+        let value = serde_json::to_value(catalog).ok();
+        let fits = value.filter(|value| self.limits.fits(value));
+        if fits.is_none() {
+            log::warn!("the machine types are too large to be stored");
+        }
+        fits
+    }
+}
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -48,7 +48,7 @@
     /// that has long ended, and would send workers to and fro. (Two nodes that the state service
     /// refused did so until the leases ran out, since the one still took the other for the leader.)
     fn report_elsewhere(&mut self, req: ReqId, now: Time) {
-        let recorded = self.job_cache.leader.as_ref().map(|(_, r)| r.node.clone());
+        let recorded = self.job_cache.leader().map(|(_, r)| r.node.clone());
         let recorded = recorded.filter(|_| self.election.state_ok(now));
         let leader = self.near_leader(now).or(recorded);
         self.report_to(req, leader.filter(|node| *node != self.settings.node));
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -6,6 +6,7 @@
 mod meetings;
 mod pipelines;
 mod stores;
+mod versions;
 mod worker;
 mod world;
 
--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -108,7 +108,7 @@
 }
 
 /// A world in which nobody does anything by themselves.
-fn scripted(seed: u64, nodes: usize) -> World {
+pub fn scripted(seed: u64, nodes: usize) -> World {
     let plan = Plan {
         nodes,
         scripted: true,
@@ -122,7 +122,7 @@
 }
 
 /// An array of one task that depends on others.
-fn step(n: u32, needs: &[u32]) -> JobSpec {
+pub fn step(n: u32, needs: &[u32]) -> JobSpec {
     let id = |n: &u32| format!("wk-{n:06}");
     let value = serde_json::json!({
         "id": id(&n), "reel": "sweep", "crew": "blue", "rig": "sweep", "precedence": "normal",
@@ -134,7 +134,7 @@
 }
 
 /// Submits a job until it is accepted.
-fn submit(world: &mut World, node: usize, spec: JobSpec) -> JobId {
+pub fn submit(world: &mut World, node: usize, spec: JobSpec) -> JobId {
     let id = spec.id.clone();
     world.add_job(spec);
     for _ in 0..40 {
@@ -148,7 +148,7 @@
 }
 
 /// Withdraws a job until its user is told how it ended.
-fn withdraw(world: &mut World, node: usize, id: &JobId) -> JobState {
+pub fn withdraw(world: &mut World, node: usize, id: &JobId) -> JobState {
     for _ in 0..60 {
         world.user_asks(node, id, Asked::Withdraw);
         world.run_until(world.now + 300);
@@ -160,7 +160,7 @@
 }
 
 /// Asks about a job until there is an answer after now.
-fn ask(world: &mut World, node: usize, id: &JobId) -> JobState {
+pub fn ask(world: &mut World, node: usize, id: &JobId) -> JobState {
     world.jobs.get_mut(id).expect("a job").last = None;
     for _ in 0..40 {
         world.user_asks(node, id, Asked::Status);
--- /dev/null
+++ b/crates/core/tests/sim/versions.rs
@@ -0,0 +1,131 @@
+//! A node comes back with the version in production after jobs with dependencies were accepted. That
+//! version neither knows nor keeps dependencies. Whatever it does then, no task starts too early, and
+//! what needs a cancelled job is not called queued and leaves nothing on machines.
+
+use super::pipelines::{ask, scripted, step, submit, withdraw};
+use super::unfinished;
+use super::world::{Asked, NodeVersion, Plan, World};
+use rudderreel_wire::ids::JobId;
+use rudderreel_wire::job::JobState;
+use std::collections::BTreeSet;
+
+/// Longer than a cancelled job's tasks may remain.
+const CANCEL_OVER_MS: u64 = 25_000;
+/// Longer than a test.
+const ENDLESS_MS: u64 = 600_000;
+
+/// A world with a job that goes on, and a chain of two that need it.
+fn with_a_chain(seed: u64) -> (World, JobId, Vec<JobId>) {
+    let mut world = scripted(seed, 3);
+    let root = submit(&mut world, 0, step(1, &[]));
+    let chain = vec![
+        submit(&mut world, 1, step(2, &[1])),
+        submit(&mut world, 2, step(3, &[2])),
+    ];
+    for told in world.jobs.values_mut() {
+        told.run_ms = (ENDLESS_MS, 0);
+    }
+    world.collects = true;
+    (world, root, chain)
+}
+
+/// No rule was broken since.
+fn assert_kept(world: &World) {
+    assert_eq!(world.broken, BTreeSet::new());
+}
+
+/// All nodes end, and the one that is back first has the version in production.
+fn led_by_production(world: &mut World, old: usize) {
+    for node in (0..3).filter(|node| *node != old) {
+        world.end_for(node, 12_000);
+    }
+    world.come_back_as(old, NodeVersion::Production, 200);
+    world.run_until(world.now + 10_000);
+}
+
+#[test]
+fn a_leader_of_the_old_version_starts_nothing_too_early() {
+    for (seed, old) in [(2_001, 0), (2_002, 1), (2_003, 2)] {
+        let (mut world, root, _) = with_a_chain(seed);
+        led_by_production(&mut world, old);
+        world.run_until(world.now + 30_000);
+        assert_ne!(ask(&mut world, (old + 1) % 3, &root), JobState::Done);
+        assert_kept(&world);
+    }
+}
+
+#[test]
+fn nothing_is_called_queued_by_a_node_of_the_old_version_after_its_dependency_was_cancelled() {
+    for (seed, old) in [(2_011, 0), (2_012, 1), (2_013, 2)] {
+        let (mut world, root, chain) = with_a_chain(seed);
+        led_by_production(&mut world, old);
+        let told = withdraw(&mut world, old, &root);
+        assert_eq!(told, JobState::Cancelled);
+        world.run_until(world.now + CANCEL_OVER_MS);
+        for id in &chain {
+            world.user_asks(old, id, Asked::Status);
+        }
+        world.run_until(world.now + 10_000);
+        assert_kept(&world);
+        for id in &chain {
+            assert_eq!(ask(&mut world, (old + 1) % 3, id), JobState::Cancelled);
+        }
+    }
+}
+
+#[test]
+fn nothing_of_a_cancelled_chain_is_left_on_machines_by_a_leader_of_the_old_version() {
+    for (seed, old) in [(2_021, 0), (2_022, 1), (2_023, 2)] {
+        let (mut world, root, chain) = with_a_chain(seed);
+        led_by_production(&mut world, old);
+        assert_eq!(withdraw(&mut world, old, &root), JobState::Cancelled);
+        world.run_until(world.now + CANCEL_OVER_MS);
+        assert_kept(&world);
+        for id in &chain {
+            assert_eq!(world.on_machines(id), 0, "{id}");
+        }
+    }
+}
+
+/// What the old version accepts it accepts without its dependencies. So it accepts nothing.
+#[test]
+fn a_node_of_the_old_version_accepts_nothing() {
+    let (mut world, _, _) = with_a_chain(2_031);
+    let leader = world.leader().expect("a leader");
+    let old = (leader + 1) % 3;
+    world.come_back_as(old, NodeVersion::Production, 200);
+    world.run_until(world.now + 15_000);
+    let spec = step(4, &[1]);
+    world.add_job(spec.clone());
+    world.user_asks(old, &spec.id, Asked::Submit);
+    world.run_until(world.now + 5_000);
+    assert!(!world.jobs[&spec.id].accepted);
+    submit(&mut world, leader, spec);
+    assert_kept(&world);
+}
+
+/// Days with every trouble on which nodes are upgraded, and some come back old.
+#[test]
+fn pipelines_keep_the_rules_though_nodes_come_back_old() {
+    for seed in 2_050..2_058 {
+        let plan = Plan {
+            nodes: if seed % 2 == 0 { 3 } else { 5 },
+            jobs: 60,
+            pace: 300,
+            pipelines: true,
+            upgrade: true,
+            comes_back_old: true,
+            ..Plan::default()
+        };
+        println!("seed {seed}, {plan:?}");
+        let mut world = World::of(seed, plan);
+        world.run_until(50_000);
+        world.faults = true;
+        world.run_until(200_000);
+        world.calm();
+        world.run_until(550_000);
+        assert_eq!(unfinished(&world), Vec::<String>::new(), "seed {seed}");
+        world.check_served();
+        world.check_cancelled_together();
+    }
+}
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -6,8 +6,10 @@
 mod rules;
 mod troubles;
 mod users;
+mod versions;
 
 pub use troubles::Trouble;
+pub use versions::NodeVersion;
 
 use super::stores::{Cloud, Limits, Store, LIMITS};
 use super::worker::Worker;
@@ -16,7 +18,7 @@
 use rudderreel_core::units::{Now, Time, Wall};
 use rudderreel_core::AdminRequest;
 use rudderreel_core::{
-    CallId, Core, DirectOutcome, Input, Output, ReqId, StateAnswer, UserRequest,
+    CallId, CloudAnswer, Core, DirectOutcome, Input, Output, ReqId, StateAnswer, UserRequest,
 };
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::ids::{Attempt, JobId, MachineId, NodeName, Version};
@@ -74,10 +76,12 @@
     Fault,
     Restart(usize),
     LowerLimits,
+    Upgrade(usize),
 }
 
 struct Node {
     core: Option<Core>,
+    version: NodeVersion,
     life: u32,
     drift: f64,
     offset: u64,
@@ -157,6 +161,10 @@
     pub lower_limits: Option<(u64, Limits)>,
     /// Whether the settings announce the lower limits.
     pub announced: bool,
+    /// Nodes begin with the version in production and are upgraded one after the other.
+    pub upgrade: bool,
+    /// Some nodes that end come back with the version in production, and are upgraded later.
+    pub comes_back_old: bool,
 }
 
 impl Default for Plan {
@@ -183,6 +191,8 @@
             pipelines: false,
             lower_limits: None,
             announced: true,
+            upgrade: false,
+            comes_back_old: false,
         }
     }
 }
@@ -231,11 +241,21 @@
     /// Since when there are no troubles.
     calm_since: Option<u64>,
     admin_answer: Option<(u16, String)>,
+    /// Whether broken rules of pipelines are collected, so that a test sees all of them; else the first
+    /// fails it.
+    pub collects: bool,
+    /// Those, each once.
+    pub broken: BTreeSet<&'static str>,
+    /// Whether all nodes have had the version under test: some may have come back old since.
+    upgraded: bool,
 }
 
 /// From more machines on, rules are checked every 50 ms only.
 const FLEET: usize = 500;
 const CANCEL_MS: u64 = 20_000;
+/// A rolling upgrade begins then, and takes the next node so often.
+const UPGRADE_FROM_MS: u64 = 12_000;
+const UPGRADE_EVERY_MS: u64 = 5_000;
 /// A job about which no question is answered for so long counts as forgotten.
 const KNOWN_MS: u64 = 75_000;
 /// The largest jobs of a class begin within this time.
@@ -294,6 +314,7 @@
         let settings: Vec<Settings> = (0..plan.nodes).map(|n| settings(n, &plan)).collect();
         let nodes = (0..plan.nodes).map(|_| Node {
             core: None,
+            version: NodeVersion::Current,
             life: 0,
             drift: 1.0 + rng.random_range(-0.0005..0.0005),
             offset: rng.random_range(1_000_000..2_000_000),
@@ -339,6 +360,9 @@
             dark: None,
             calm_since: None,
             admin_answer: None,
+            collects: false,
+            broken: BTreeSet::new(),
+            upgraded: false,
             plan,
         };
         if world.plan.spread {
@@ -349,6 +373,9 @@
             let settings = serde_json::to_value(&settings).expect("JSON");
             world.store.put("pub/admin", settings);
         }
+        if world.plan.upgrade {
+            world.plan_upgrade(UPGRADE_FROM_MS, UPGRADE_EVERY_MS);
+        }
         for node in 0..world.plan.nodes {
             world.start(node);
         }
@@ -388,6 +415,11 @@
 
     fn crash(&mut self, node: usize) {
         let back = self.rng.random_range(100..4_000);
+        if self.plan.comes_back_old && self.rng.random_bool(0.4) {
+            let upgrade = self.rng.random_range(8_000..25_000);
+            self.after(upgrade, Event::Upgrade(node));
+            return self.come_back_as(node, NodeVersion::Production, back);
+        }
         self.end(node, back);
     }
 
@@ -508,12 +540,17 @@
                     self.store.limits = lower;
                 }
             }
+            Event::Upgrade(node) => {
+                let back = self.rng.random_range(100..2_000);
+                self.come_back_as(node, NodeVersion::Current, back);
+            }
             Event::Restart(node) => {
                 if self.nodes[node].core.is_none() {
                     self.start(node);
                 }
             }
         }
+        self.upgraded = self.is_upgraded();
         self.deliver_kept();
         // Of a whole fleet that takes long; what breaks a rule there does so for longer than this.
         if self.plan.machines <= FLEET || self.now >= self.next_check {
@@ -585,10 +622,7 @@
     fn step(&mut self, node: usize, input: Input) {
         let now = self.clock(node);
         let life = self.nodes[node].life;
-        let Some(core) = self.nodes[node].core.as_mut() else {
-            return;
-        };
-        for output in core.step(input, now) {
+        for output in self.step_core(node, input, now) {
             let hop = self.hop();
             match output {
                 Output::Answer {
@@ -609,7 +643,13 @@
                     self.after(hop, Event::State(node, life, id, now.time, call))
                 }
                 Output::Watch(after) => self.after(hop, Event::Watch(node, life, after)),
-                Output::Cloud(id, call) => self.after(hop, Event::Cloud(node, life, id, call)),
+                Output::Cloud(id, call) if self.asks_cloud(node, &call) => {
+                    self.after(hop, Event::Cloud(node, life, id, call))
+                }
+                Output::Cloud(id, _) => {
+                    let input = Input::Cloud(id, CloudAnswer::Refused);
+                    self.after(hop, Event::Input(node, life, input))
+                }
                 Output::Direct { machine, body, .. } => {
                     self.note_starts(&body.commands);
                     self.after(hop, Event::Direct(node, life, machine, body, false))
@@ -935,7 +975,8 @@
 
     /// Who leads, by the state service.
     pub fn leading(&self) -> Option<usize> {
-        let name = self.store.text("pub/leader", "node")?;
+        let seat = self.store.text("pub/seat", "node");
+        let name = seat.or_else(|| self.store.text("pub/leader", "node"))?;
         (0..self.plan.nodes).find(|n| self.settings[*n].node.as_str() == name)
     }
 
@@ -1050,7 +1091,7 @@
 fn is_delicate(call: &rudderreel_core::StateCall) -> bool {
     match call {
         rudderreel_core::StateCall::Commit(t) => {
-            let leads = |k: &str| k == "pub/leader" || k == "epoch";
+            let leads = |k: &str| ["pub/leader", "pub/seat", "epoch"].contains(&k);
             t.conditions.iter().any(|c| leads(&c.key)) && !t.changes.is_empty()
         }
         rudderreel_core::StateCall::NewLease(_) => true,
--- a/crates/core/tests/sim/world/pipelines.rs
+++ b/crates/core/tests/sim/world/pipelines.rs
@@ -1,11 +1,12 @@
 //! Jobs that depend on others: what users submit, and the two rules about them.
 
 use super::*;
+use crate::worker::Task;
 
 impl World {
     /// Accepted jobs that a new one may depend on, in any state.
     pub(super) fn some_dependencies(&mut self) -> Vec<JobId> {
-        if !self.plan.pipelines || self.rng.random_bool(0.4) {
+        if !self.plan.pipelines || !self.is_upgraded() || self.rng.random_bool(0.4) {
             return Vec::new();
         }
         let may = |t: &&Told| t.accepted && t.spec.kind != Kind::Service;
@@ -57,12 +58,20 @@
                 told.ready_at = Some(now.max(told.asked_at));
             }
         }
-        for task in self.workers.values().flat_map(|w| w.tasks.values()) {
-            let ready = self.jobs[&task.task.job].ready_at.is_some();
-            assert!(ready, "too_early: {} at {}", task.task, self.now);
+        let early = |task: &&Task| self.jobs[&task.task.job].ready_at.is_none();
+        let tasks = self.workers.values().flat_map(|w| w.tasks.values());
+        let early: Vec<String> = tasks.filter(early).map(|t| t.task.to_string()).collect();
+        for task in early {
+            self.breaks("too_early", &task);
         }
     }
 
+    /// A rule is broken: that fails the test, now or when it looks at what was collected.
+    pub(super) fn breaks(&mut self, rule: &'static str, what: &str) {
+        assert!(self.collects, "{rule}: {what} at {}", self.now);
+        self.broken.insert(rule);
+    }
+
     /// A job that is told to be cancelled was cancelled by its user, or needs one that was.
     pub(super) fn check_cancelled(&self, id: &JobId) {
         let asked = |id: &JobId| self.jobs[id].withdrawn;
@@ -72,15 +81,22 @@
         );
     }
 
+    /// When a job's user was told that it, or a job that it needs, is cancelled.
+    pub(super) fn cancelled_since(&self, id: &JobId) -> Option<u64> {
+        let told = |id: &JobId| self.jobs[id].cancelled_at;
+        let with_ancestors = self.ancestors(id).into_iter().chain([id.clone()]);
+        with_ancestors.filter_map(|id| told(&id)).min()
+    }
+
     /// A job is not called queued or running long after its user was told that one before it is
     /// cancelled.
-    pub(super) fn check_not_orphaned(&self, id: &JobId) {
+    pub(super) fn check_not_orphaned(&mut self, id: &JobId) {
         for ancestor in self.ancestors(id) {
-            if let Some(at) = self.jobs[&ancestor].cancelled_at {
-                assert!(
-                    self.now <= at + CANCEL_MS,
-                    "orphaned: {id} at {}, {ancestor} was cancelled at {at}",
-                    self.now
+            let cancelled = self.jobs[&ancestor].cancelled_at;
+            if let Some(at) = cancelled.filter(|at| self.now > at + CANCEL_MS) {
+                self.breaks(
+                    "orphaned",
+                    &format!("{id}, {ancestor} was cancelled at {at}"),
                 );
             }
         }
--- a/crates/core/tests/sim/world/rules.rs
+++ b/crates/core/tests/sim/world/rules.rs
@@ -144,6 +144,7 @@
         let mut places: BTreeMap<(JobId, u32), u32> = BTreeMap::new();
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut zones: BTreeMap<&JobId, BTreeMap<&str, u32>> = BTreeMap::new();
+        let mut left: Vec<String> = Vec::new();
         for worker in self.workers.values_mut() {
             // A machine that hangs goes on within its lease or not at all.
             worker.expire(self.now, self.plan.lease_s * 1_000);
@@ -163,8 +164,9 @@
                 *used.entry(told.spec.team.as_str()).or_default() += told.spec.cpus;
                 let zone = zones.entry(&told.spec.id).or_default();
                 *zone.entry(worker.zone()).or_default() += 1;
-                if let Some(at) = told.cancelled_at {
-                    assert!(self.now <= at + CANCEL_MS, "ran_cancelled: {}", task.task);
+                let cancelled = self.cancelled_since(&task.task.job);
+                if cancelled.is_some_and(|at| self.now > at + CANCEL_MS) {
+                    left.push(task.task.to_string());
                 }
                 assert!(
                     told.spec.spot || !worker.is_spot(),
@@ -206,6 +208,9 @@
                 "wrong_place: {job} scatter"
             );
         }
+        for task in left {
+            self.breaks("ran_cancelled", &task);
+        }
         for (id, told) in self.jobs.iter_mut().filter(|(_, t)| t.begun_at.is_none()) {
             let mut here = places.range((id.clone(), 0)..=(id.clone(), u32::MAX));
             // Of gangs, `gangs` knows.
