--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -226,6 +226,7 @@
             "leads": lead.is_some(),
             "state_service_answers": self.election.state_ok(now.time),
             "jobs_known": self.job_cache.jobs.len(),
+            "unreadable_records": self.job_cache.unreadable,
             "jobs_unfinished": lead.map(|l| l.jobs.len()),
             "machines": lead.map(|l| l.machines.len()),
             "pages": lead.map(|l| l.placement_log.len()),
--- a/crates/core/src/election/tests.rs
+++ b/crates/core/src/election/tests.rs
@@ -134,3 +134,66 @@
     };
     assert_eq!(verdict, Verdict::Won(won));
 }
+
+fn outdated() -> (Version, LeaderRecord) {
+    let record = LeaderRecord {
+        format: 0,
+        ..LeaderRecord::new("n0".into(), Epoch(4), LeaseId(1))
+    };
+    (Version(3), record)
+}
+
+fn steps(calls: &[(StateCall, Step)]) -> Vec<String> {
+    let campaign = calls.iter().filter(|(_, s)| !matches!(s, Step::Look(_)));
+    campaign.map(|(_, step)| format!("{step:?}")).collect()
+}
+
+/// A leader that must not lead any more loses its key, without a vacancy that another such process would
+/// fill.
+#[test]
+fn an_outdated_leader_is_superseded_and_not_just_ended() {
+    let mut node = node();
+    node.note_state(NOW, &StateAnswer::Missing);
+    let leader = outdated();
+    let calls = node.tick(NOW, Seat::Outdated(&leader), None);
+    assert_eq!(steps(&calls), ["Supersede"]);
+    let Some((StateCall::Commit(transaction), _)) = calls.last() else {
+        panic!("a commit is expected");
+    };
+    assert_eq!(transaction.conditions[0].version, leader.0);
+    let Change::Put { key, lease, value } = &transaction.changes[0] else {
+        panic!("the key stays");
+    };
+    assert_eq!((key.as_str(), *lease), (LEADER, None));
+    let tombstone: LeaderRecord = serde_json::from_value(value.clone()).expect("a record");
+    assert!(tombstone.superseded);
+    assert_eq!(tombstone.lease_to_end(), Some(LeaseId(1)));
+    // It is not asked for all the time.
+    let calls = node.tick(NOW + Span(100), Seat::Outdated(&leader), None);
+    assert_eq!(steps(&calls), Vec::<String>::new());
+}
+
+/// Its lease is alive, so it goes on answering workers. Nobody follows it before the lease has ended.
+#[test]
+fn nobody_follows_a_superseded_leader_before_its_lease_has_ended() {
+    let mut node = node();
+    node.note_state(NOW, &StateAnswer::Missing);
+    let (version, record) = outdated();
+    let common = (version, record.tombstone(Some(record.lease)));
+    let seat = Seat::Vacant(Some(&common));
+    assert_eq!(steps(&node.tick(NOW, seat, None)), ["EndSuperseded"]);
+    let (_, calls) = node.answered(NOW, NOW, Step::EndSuperseded, StateAnswer::Unknown);
+    assert!(calls.is_empty(), "it may not have ended");
+    let later = NOW + Span(2_000);
+    assert_eq!(steps(&node.tick(later, seat, None)), ["EndSuperseded"]);
+    let (_, calls) = node.answered(later, later, Step::EndSuperseded, StateAnswer::Done);
+    assert_eq!(steps(&calls), ["ReadEpoch"]);
+    let taken = StateAnswer::Lease(LeaseId(9));
+    let (_, calls) = node.answered(later, later, Step::TakeLease, taken);
+    let Some((StateCall::Commit(claim), _)) = calls.first() else {
+        panic!("a claim is expected");
+    };
+    let condition = |key: &str| claim.conditions.iter().find(|c| c.key == key);
+    let versions = [LEADER, crate::records::SEAT].map(|key| condition(key).map(|c| c.version));
+    assert_eq!(versions, [Some(version), Some(Version(0))]);
+}
--- a/crates/core/src/job_cache.rs
+++ b/crates/core/src/job_cache.rs
@@ -80,6 +80,8 @@
     pub graph: DependencyGraph,
     /// Cancelled jobs by the revisions that cancelled them. One transaction may cancel several.
     cancelled: BTreeMap<Version, BTreeSet<JobId>>,
+    /// How often a record could not be read.
+    pub unreadable: u64,
     /// What other nodes have written about the cancellations that they know.
     pub known: BTreeMap<NodeName, KnownRecord>,
 }
@@ -235,17 +237,24 @@
         }
     }
 
+    /// A record can't be read: perhaps a later version wrote it. What it says is not known here, and a
+    /// task or a cancellation may hang on it.
+    pub fn note_unreadable(&mut self, key: &str, why: &dyn std::fmt::Display) {
+        self.unreadable += 1;
+        log::error!("unreadable record {key}: {why}");
+    }
+
     /// Takes in a key of the shared prefix.
     pub fn learn(&mut self, key: &str, version: Version, value: &Value) {
         if let Some(leader_key) = LeaderKey::of_name(key) {
             match LeaderRecord::deserialize_from(value) {
                 Some(record) => self.learn_leader(leader_key, version, Some((version, record))),
-                None => log::error!("unreadable leader record {key}"),
+                None => self.note_unreadable(key, &"no leader's record"),
             }
         } else if key == ADMIN {
             match serde_json::from_value(value.clone()) {
                 Ok(settings) => self.admin = Some((version, settings)),
-                Err(e) => log::error!("unreadable record {key}: {e}"),
+                Err(e) => self.note_unreadable(key, &e),
             }
         } else if key == CATALOG {
             self.catalog = serde_json::from_value(value.clone()).ok();
@@ -257,12 +266,12 @@
         } else if let Some(node) = key.strip_prefix(KNOWN) {
             match serde_json::from_value(value.clone()) {
                 Ok(record) => drop(self.known.insert(node.into(), record)),
-                Err(e) => log::error!("unreadable record {key}: {e}"),
+                Err(e) => self.note_unreadable(key, &e),
             }
         } else if let Some(id) = key.strip_prefix(JOBS).and_then(|id| id.parse().ok()) {
             match serde_json::from_value(value.clone()) {
                 Ok(record) => self.learn_job(id, version, record),
-                Err(e) => log::error!("unreadable record {key}: {e}"),
+                Err(e) => self.note_unreadable(key, &e),
             }
         }
     }
--- a/crates/core/src/job_cache/tests.rs
+++ b/crates/core/src/job_cache/tests.rs
@@ -49,3 +49,16 @@
     let told = cache.cancelled_after(Version(0), 1);
     assert_eq!((told.jobs.len(), told.cut_after), (2, Some(Version(11))));
 }
+
+/// What can't be read is counted and leaves what was known as it is.
+#[test]
+fn records_that_can_not_be_read_are_counted() {
+    let mut cache = JobCache::default();
+    cache.learn_job(id(1), Version(3), JobRecord::queued(&spec(1), Wall(5)));
+    let later = serde_json::json!({"state": "suspended", "submitted": 5});
+    cache.learn("pub/job/wk-1", Version(4), &later);
+    cache.learn("pub/seat", Version(4), &serde_json::json!([]));
+    assert_eq!(cache.unreadable, 2);
+    assert_eq!(cache.jobs[&id(1)].version, Version(3));
+    assert!(cache.leader().is_none());
+}
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -145,7 +145,7 @@
                 }),
             };
             if known.is_none() {
-                log::error!("unreadable record {}", item.key);
+                self.job_cache.note_unreadable(&item.key, &"read back");
             }
         }
     }
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -1,5 +1,6 @@
 //! A small leader for unit tests.
 
+use crate::core::Core;
 use crate::election::Won;
 use crate::job::Job;
 use crate::lead::Lead;
@@ -52,6 +53,11 @@
 rps = 5.0
 list_lag_s = 3.0
 "#;
+/// A node that is alone.
+pub fn core() -> Core {
+    Core::new(Settings::parse(SETTINGS).expect("settings"))
+}
+
 /// A leader with two teams, one machine type of 4 CPUs in two zones, and nothing else.
 pub fn lead() -> Lead {
     let settings = Settings::parse(SETTINGS).expect("settings");
--- a/crates/core/src/version_gate.rs
+++ b/crates/core/src/version_gate.rs
@@ -263,3 +263,6 @@
         fits
     }
 }
+
+#[cfg(test)]
+mod tests;
