--- a/crates/core/src/placement_log/tests.rs
+++ b/crates/core/src/placement_log/tests.rs
@@ -128,9 +128,9 @@
 /// each machine's line was not counted, so the page was rejected, and the limits were halved for nothing.
 #[test]
 fn what_is_left_of_old_pages_fits_into_a_new_one() {
-    let mut lead = leader_with_work(60, 60, 1);
-    lead.limits.value_bytes = 2_048;
-    lead.limits.operations = 6;
+    let mut lead = leader_with_work(120, 120, 1);
+    lead.limits.value_bytes = 4_096;
+    lead.limits.operations = 20;
     record_all(&mut lead);
     // A task is left here and there, each on a page that its machine's line is not on.
     let old: Vec<PageId> = (0..20).map(|_| lead.next_page()).collect();
--- a/crates/core/src/recovery/tests.rs
+++ b/crates/core/src/recovery/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
-use crate::testing::{job, lead, NOW};
+use crate::testing::{job, lead, running, NOW};
 use crate::units::Resources;
-use rudderreel_wire::ids::{Attempt, MachineId, Seq, TaskId};
+use rudderreel_wire::ids::{Attempt, MachineId, Seq};
 use rudderreel_wire::job::JobState;
-use rudderreel_wire::worker::{Command, Report, TaskReport, TaskState};
+use rudderreel_wire::worker::Command;
 
 /// A new leader tried every task of a broken array again; now the log tells it. A later page that
 /// does not name the job as suspected clears it.
@@ -59,7 +59,7 @@
     );
     assert!(lead.tidy_up().is_empty() && !lead.placement_log.is_dead(PageId(1)));
     // One of them is there, and is stopped; the other is not, and surely gone.
-    let report = report_of(&machine, 5, &unknown.task(1), Attempt(3));
+    let report = running(&machine, Epoch(5), Seq(1), &unknown.task(1), Attempt(3));
     lead.hear(&report, NOW);
     let stop = Command::Stop {
         task: unknown.task(1),
@@ -73,27 +73,6 @@
     assert_eq!(left, [1]);
 }
 
-fn report_of(machine: &MachineId, token: u64, task: &TaskId, attempt: Attempt) -> Report {
-    Report {
-        machine: machine.clone(),
-        addr: "10.0.0.1:1".into(),
-        machine_type: "m4".into(),
-        zone: "a".into(),
-        spot: false,
-        session: Session(1),
-        seq: Seq(1),
-        token: Epoch(token),
-        notice_s: None,
-        tasks: vec![TaskReport {
-            task: task.clone(),
-            attempt,
-            state: TaskState::Running,
-            why: None,
-            saved: None,
-        }],
-    }
-}
-
 /// Of a gang whose first task has said that it is done others may still hold room. The leader that heard
 /// of it counted them for their team's limit; one that took over did not know whose they were.
 #[test]
--- a/crates/core/src/reports/tests.rs
+++ b/crates/core/src/reports/tests.rs
@@ -1,28 +1,11 @@
 use super::*;
 use crate::records::JobRecord;
-use crate::testing::{job, lead, run, up, NOW};
+use crate::testing::{job, lead, run, running, up, NOW};
 use rudderreel_wire::ids::{Epoch, Seq, Version};
 use rudderreel_wire::job::JobState;
 
 fn report(machine: &MachineId, seq: u64, task: &TaskId) -> Report {
-    Report {
-        machine: machine.clone(),
-        addr: "10.0.0.1:1".into(),
-        machine_type: "m4".into(),
-        zone: "a".into(),
-        spot: false,
-        session: Session(1),
-        seq: Seq(seq),
-        token: Epoch(1),
-        notice_s: None,
-        tasks: vec![TaskReport {
-            task: task.clone(),
-            attempt: Attempt(1),
-            state: TaskState::Running,
-            why: None,
-            saved: None,
-        }],
-    }
+    running(machine, Epoch(1), Seq(seq), task, Attempt(1))
 }
 
 /// The answer to a report that came late was empty, and renewed the worker's lease all the same.
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -8,9 +8,9 @@
 use crate::records::LeaderKey;
 use crate::tree::TeamTree;
 use crate::units::{Now, Time, Wall};
-use rudderreel_wire::ids::{Attempt, Epoch, LeaseId, MachineId, Version};
+use rudderreel_wire::ids::{Attempt, Epoch, LeaseId, MachineId, Seq, Session, TaskId, Version};
 use rudderreel_wire::settings::Settings;
-use rudderreel_wire::worker::TaskState;
+use rudderreel_wire::worker::{Report, TaskReport, TaskState};
 
 /// The moment that tests begin at.
 pub const NOW: Now = Now {
@@ -124,3 +124,31 @@
         machine.entries.push(entry);
     }
 }
+
+/// A report of a machine on which one task runs.
+pub fn running(
+    machine: &MachineId,
+    token: Epoch,
+    seq: Seq,
+    task: &TaskId,
+    attempt: Attempt,
+) -> Report {
+    Report {
+        machine: machine.clone(),
+        addr: "10.0.0.1:1".into(),
+        machine_type: "m4".into(),
+        zone: "a".into(),
+        spot: false,
+        session: Session(1),
+        seq,
+        token,
+        notice_s: None,
+        tasks: vec![TaskReport {
+            task: task.clone(),
+            attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        }],
+    }
+}
