--- a/crates/controller/src/admin.rs
+++ b/crates/controller/src/admin.rs
@@ -25,8 +25,12 @@
     Overview,
     /// Who uses what, against quota, limit and share.
     Teams,
-    /// Machines, and what they cost.
-    Machines,
+    /// Machines, and what they cost: a page of them.
+    Machines {
+        /// Only those after this one.
+        #[arg(long, value_name = "MACHINE")]
+        after: Option<String>,
+    },
     /// Tasks that were stopped lately, and why.
     Stops,
     /// Why a job is where it is.
@@ -57,7 +61,8 @@
     let reply = match &args.what {
         What::Overview => get("/admin/overview"),
         What::Teams => get("/admin/teams"),
-        What::Machines => get("/admin/machines"),
+        What::Machines { after: None } => get("/admin/machines"),
+        What::Machines { after: Some(name) } => get(&format!("/admin/machines?after={name}")),
         What::Stops => get("/admin/stops"),
         What::Job { id } => get(&format!("/admin/jobs/{id}")),
         What::Settings { change: None } => get("/admin/settings"),
--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -2,6 +2,7 @@
 //! limits, and whatever goes wrong becomes an answer that the core can deal with.
 
 use rudderreel_core::{CloudAnswer, CloudCall, DirectOutcome, StateAnswer, StateCall, Value};
+use rudderreel_wire::cloud::MACHINES_PER_PAGE;
 use rudderreel_wire::ids::Version;
 use rudderreel_wire::peer::{
     Announcement, AnnouncementReply, Forward, Heartbeat, HeartbeatReply, Reports, ReportsReply,
@@ -13,9 +14,9 @@
 use std::time::Duration;
 use ureq::Agent;
 
-/// Keys asked for in one page.
-const PAGE: u32 = 200;
-/// The longest answer that is read. Lists come in pages well below it. A watch's answer has no
+/// Keys asked for in one page, and fewer each time that the answer is too long to be read.
+const PAGES: [u32; 3] = [200, 20, 1];
+/// The longest answer that is read. By the protocol a page has 512 KiB at most. A watch's answer has no
 /// bound: one that is longer is not asked for again, but everything read anew, in pages.
 const MAX_ANSWER: u64 = 4 << 20;
 /// Watches wait so long for a change.
@@ -98,6 +99,19 @@
     }
 }
 
+/// Reads a page of keys. One that is longer than what is read would be asked for again for ever, so a
+/// shorter one is.
+fn list(agent: &Agent, url: &str) -> Reply {
+    let mut reply = Reply::TooLong;
+    for most in PAGES {
+        reply = get(agent, &format!("{url}&most={most}"));
+        if !matches!(reply, Reply::TooLong) {
+            break;
+        }
+    }
+    reply
+}
+
 /// Calls the state service.
 pub fn call_state(agent: &Agent, addr: SocketAddrV4, call: &StateCall) -> StateAnswer {
     let reply = match call {
@@ -107,8 +121,7 @@
                 .as_ref()
                 .map(|k| format!("&after={k}"))
                 .unwrap_or_default();
-            let url = format!("http://{addr}/keys?prefix={prefix}{after}&most={PAGE}");
-            get(agent, &url)
+            list(agent, &format!("http://{addr}/keys?prefix={prefix}{after}"))
         }
         StateCall::Commit(transaction) => {
             post_json(agent, &format!("http://{addr}/commit"), transaction)
@@ -199,7 +212,10 @@
                 .as_ref()
                 .map(|m| format!("after={m}&"))
                 .unwrap_or_default();
-            get(agent, &format!("http://{addr}/rentals?{after}most=500"))
+            get(
+                agent,
+                &format!("http://{addr}/rentals?{after}most={MACHINES_PER_PAGE}"),
+            )
         }
     };
     let Reply::Status(status, body) = reply else {
--- a/crates/controller/src/clients/tests.rs
+++ b/crates/controller/src/clients/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::http::{Answer, Limits, Server};
 use rudderreel_wire::state::Transaction;
+use std::sync::Arc;
 
 /// An answer that can't be read says nothing: the call may have been carried out.
 #[test]
@@ -36,3 +38,30 @@
     assert!(matches!(conflict, StateAnswer::Unknown));
     assert!(!is_full(b"no capacity") && is_full(b"{\"error\":\"no capacity\"}"));
 }
+
+/// A page that was longer than what is read was asked for again as it was, for ever.
+#[test]
+fn a_page_that_is_too_long_is_read_in_shorter_ones() {
+    let limits = Limits {
+        connections: 16,
+        workers: 0,
+        body: 100,
+    };
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let (server, _) = Server::listen(any, 0, limits, Arc::default()).expect("it listens");
+    let addr = server.addr().expect("an address");
+    std::thread::spawn(move || {
+        server.serve(|_, request| {
+            let long = !request.url.ends_with("most=20");
+            let filler = " ".repeat(if long { MAX_ANSWER as usize } else { 0 });
+            let text = format!("{{\"entries\":[],\"hasNext\":true,\"logline\":7{filler}}}");
+            Some(Answer::json(200, text.into_bytes()))
+        });
+    });
+    let agent = agent(2_000, 20_000);
+    let call = StateCall::List("pub/".into(), None);
+    match call_state(&agent, addr, &call) {
+        StateAnswer::Page(page) => assert!(page.more && page.revision == Version(7)),
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -1,31 +1,22 @@
 //! HTTP servers: one for users, workers and health checks, one for peers and administrators.
 
+use crate::counters::Refusals;
 use crate::http::{self, Answer, Answers, Limits, Request, Server};
+use crate::inputs::{InputQueues, QueueFull};
+use crate::process_limits::ProcessLimits;
 use crate::requests::{self, Incoming, MAX_BODY};
-use crossbeam_channel::{Sender, TrySendError};
 use rudderreel_core::{AdminRequest, Input, ReqId, UserRequest};
 use rudderreel_wire::peer::{
-    Announcement, Forward, Heartbeat, PassedSubmission, Reports, SenderVersion,
+    Announcement, Forward, Heartbeat, PassedSubmission, Reports, SenderVersion, MAX_MESSAGE_BYTES,
 };
 use rudderreel_wire::settings::Settings;
+use std::sync::Arc;
 
-/// The largest body that a peer sends: reports of many workers, or counts of many jobs. Reports
-/// are passed on in batches well below it.
-const MAX_PEER_BODY: usize = 1 << 20;
 /// Tell the servers' requests apart.
 const FRONT: u8 = 0;
 const PEERS: u8 = 1;
-/// Sockets that are reckoned with if the platform does not name a limit.
-const SOCKETS: usize = 1_024;
-
-/// Inputs on their way to the core: reports are many, and must not hold up the rest.
-#[derive(Clone)]
-pub struct ToCore {
-    /// Reports of workers, and batches of them.
-    pub reports: Sender<Input>,
-    /// Everything else.
-    pub rest: Sender<Input>,
-}
+/// Path of what the servers refused.
+const REFUSALS: &str = "/admin/refusals";
 
 /// Requests that wait for the core's answer.
 #[derive(Clone, Default)]
@@ -55,101 +46,137 @@
     }
 }
 
-/// Connections by the sockets that the platform allows: three quarters at the front, of these three
-/// quarters for workers, and an eighth for peers. The last eighth is left for this node's own calls.
-fn limits(settings: &Settings) -> (Limits, Limits) {
-    let allowed = settings.params.limits.as_ref().map(|l| l.fd_limit as usize);
-    let sockets = allowed.filter(|n| *n > 0).unwrap_or(SOCKETS);
-    let connections = (sockets * 3 / 4).max(16);
-    let front = Limits {
-        connections,
-        workers: connections * 3 / 4,
+/// The servers of a node, which listen.
+pub struct Servers {
+    /// For users, workers and health checks.
+    pub front: Server,
+    /// For peers and administrators.
+    pub peers: Server,
+    /// Where their requests are answered.
+    pub open: Open,
+    /// What they refused.
+    pub counters: Arc<Refusals>,
+}
+
+/// Listens for users and workers, and for peers.
+pub fn listen(settings: &Settings, limits: &ProcessLimits) -> Result<Servers, String> {
+    let connections = &limits.connections;
+    let for_front = Limits {
+        connections: connections.front,
+        workers: connections.workers,
         body: MAX_BODY,
     };
-    let peers = Limits {
-        connections: (sockets / 8).max(16),
+    let for_peers = Limits {
+        connections: connections.peers,
         workers: 0,
-        body: MAX_PEER_BODY,
+        body: MAX_MESSAGE_BYTES,
     };
-    (front, peers)
-}
-
-/// Listens for users and workers, and for peers.
-pub fn listen(settings: &Settings) -> Result<(Server, Server, Open), String> {
-    let (for_front, for_peers) = limits(settings);
-    let (front, a) = Server::listen(settings.listen, FRONT, for_front)?;
-    let (peers, b) = Server::listen(settings.peer_listen, PEERS, for_peers)?;
-    Ok((
+    let counters = Arc::<Refusals>::default();
+    let (front, a) = Server::listen(settings.listen, FRONT, for_front, counters.clone())?;
+    let (peers, b) = Server::listen(settings.peer_listen, PEERS, for_peers, counters.clone())?;
+    Ok(Servers {
         front,
         peers,
-        Open {
+        open: Open {
             servers: vec![a, b],
         },
-    ))
+        counters,
+    })
 }
 
-/// Hands an input to the core. If the core is too far behind, the request is refused at once.
-fn hand_over(core: &Sender<Input>, input: Input) -> Option<Answer> {
-    match core.try_send(input) {
-        Ok(()) => None,
-        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-            Some(Answer::error(503, "overloaded"))
+/// Hands inputs to the core and counts what is refused.
+struct Intake<'a> {
+    core: &'a InputQueues,
+    refusals: &'a Refusals,
+}
+
+impl Intake<'_> {
+    /// Hands an input to the core. If the core is too far behind, the request is refused at once.
+    fn hand_over(&self, input: Input) -> Option<Answer> {
+        let QueueFull = self.core.offer(input).err()?;
+        self.refusals.queue_full.add();
+        Some(Answer::error(503, "overloaded"))
+    }
+
+    /// Refuses what could not be read.
+    fn unreadable(&self, why: &str) -> Option<Answer> {
+        self.refusals.unreadable.add();
+        Some(Answer::error(400, why))
+    }
+
+    /// Hands over what a message of a peer says.
+    fn message<T: bitcode::DecodeOwned>(
+        &self,
+        bytes: &[u8],
+        input: impl FnOnce(T) -> Input,
+    ) -> Option<Answer> {
+        match bitcode::decode::<T>(bytes) {
+            Ok(message) => self.hand_over(input(message)),
+            Err(e) => self.unreadable(&e.to_string()),
         }
     }
 }
 
 /// Serves users, workers and health checks.
-pub fn serve_front(server: Server, core: &ToCore) {
+pub fn serve_front(server: Server, core: &InputQueues, refusals: &Refusals) {
+    let intake = Intake { core, refusals };
     server.serve(
         |id, request| match requests::front(request.method, request.url, request.body) {
-            Ok(Incoming::User(user)) => hand_over(&core.rest, Input::User(id, user)),
-            Ok(Incoming::Report(report)) => hand_over(&core.reports, Input::Report(id, report)),
-            Ok(Incoming::Health) => hand_over(&core.rest, Input::Health(id)),
-            Err(rejected) => Some(Answer::error(rejected.status, &rejected.text)),
+            Ok(Incoming::User(user)) => intake.hand_over(Input::User(id, user)),
+            Ok(Incoming::Report(report)) => intake.hand_over(Input::Report(id, report)),
+            Ok(Incoming::Health) => intake.hand_over(Input::Health(id)),
+            Err(rejected) => {
+                if rejected.status == 400 && request.body.is_some() {
+                    refusals.unreadable.add();
+                }
+                Some(Answer::error(rejected.status, &rejected.text))
+            }
         },
     );
 }
 
 /// Serves peers and administrators.
-pub fn serve_peers(server: Server, core: &ToCore) {
-    server.serve(|id, request| peer_request(id, &request, core));
+pub fn serve_peers(server: Server, core: &InputQueues, refusals: &Refusals) {
+    let intake = Intake { core, refusals };
+    server.serve(|id, request| peer_request(id, &request, &intake));
 }
 
-fn peer_request(id: ReqId, request: &Request, core: &ToCore) -> Option<Answer> {
+fn peer_request(id: ReqId, request: &Request, intake: &Intake) -> Option<Answer> {
     let Some(bytes) = request.body else {
         return Some(Answer::error(400, "the body is too long"));
     };
     match (request.method, request.url) {
-        ("POST", "/peer/heartbeat") => match bitcode::decode::<Heartbeat>(bytes) {
-            Ok(beat) => hand_over(&core.rest, Input::Heartbeat(id, beat)),
-            Err(e) => Some(Answer::error(400, &e.to_string())),
-        },
-        ("POST", "/peer/announce") => match bitcode::decode::<Announcement>(bytes) {
-            Ok(told) => hand_over(&core.rest, Input::Announced(id, told)),
-            Err(e) => Some(Answer::error(400, &e.to_string())),
-        },
-        ("POST", "/peer/reports") => match bitcode::decode::<Reports>(bytes) {
-            Ok(reports) => hand_over(&core.reports, Input::Reports(id, reports)),
-            Err(e) => Some(Answer::error(400, &e.to_string())),
-        },
+        ("POST", "/peer/heartbeat") => {
+            intake.message(bytes, |beat: Heartbeat| Input::Heartbeat(id, beat))
+        }
+        ("POST", "/peer/announce") => {
+            intake.message(bytes, |told: Announcement| Input::Announced(id, told))
+        }
+        ("POST", "/peer/reports") => {
+            intake.message(bytes, |reports: Reports| Input::Reports(id, reports))
+        }
         ("POST", "/peer/forward") => match forwarded(bytes) {
             Some(ForwardedTo::User(user, sender)) => {
-                hand_over(&core.rest, Input::Forwarded(id, user, sender))
+                intake.hand_over(Input::Forwarded(id, user, sender))
             }
-            Some(ForwardedTo::Admin(ask)) => hand_over(&core.rest, Input::Admin(id, ask, false)),
-            None => Some(Answer::error(400, "unreadable")),
+            Some(ForwardedTo::Admin(ask)) => intake.hand_over(Input::Admin(id, ask, false)),
+            None => intake.unreadable("unreadable"),
         },
-        (method, path) if path.starts_with("/admin/") => admin(id, method, path, bytes, core),
+        ("GET", REFUSALS) => {
+            let body = intake.refusals.as_json().to_string();
+            Some(Answer::json(200, body.into_bytes()))
+        }
+        (method, path) if path.starts_with("/admin/") => admin(id, method, path, bytes, intake),
         _ => Some(Answer::error(404, "no such path")),
     }
 }
 
 /// Serves the administration API.
-fn admin(id: ReqId, method: &str, path: &str, bytes: &[u8], core: &ToCore) -> Option<Answer> {
+fn admin(id: ReqId, method: &str, path: &str, bytes: &[u8], intake: &Intake) -> Option<Answer> {
     let ask = match method {
         "PUT" if path == "/admin/settings" => match serde_json::from_slice(bytes) {
             Ok(new) => Some(AdminRequest::Replace(Box::new(new))),
-            Err(e) => return Some(Answer::error(400, &e.to_string())),
+            Err(e) => return intake.unreadable(&e.to_string()),
         },
         "GET" => AdminRequest::of_path(path),
         _ => {
@@ -158,7 +185,7 @@
         }
     };
     match ask {
-        Some(ask) => hand_over(&core.rest, Input::Admin(id, ask, true)),
+        Some(ask) => intake.hand_over(Input::Admin(id, ask, true)),
         None => Some(Answer::error(404, "no such path")),
     }
 }
--- a/crates/controller/src/front/tests.rs
+++ b/crates/controller/src/front/tests.rs
@@ -2,21 +2,35 @@
 use crossbeam_channel::{bounded, Receiver};
 use rudderreel_wire::ids::{Epoch, Version};
 
-fn wires() -> (ToCore, Receiver<Input>, Receiver<Input>) {
-    let (reports, taken) = bounded(4);
-    let (rest, others) = bounded(4);
-    (ToCore { reports, rest }, taken, others)
+/// Queues with room for four inputs each.
+fn queues() -> (InputQueues, [Receiver<Input>; 3]) {
+    let [(control, a), (users, b), (reports, c)] = [(); 3].map(|()| bounded(4));
+    let queues = InputQueues {
+        control,
+        users,
+        reports,
+    };
+    (queues, [a, b, c])
 }
 
-fn ask(core: &ToCore, method: &str, url: &str, body: Option<&[u8]>) -> Option<u16> {
+fn ask(core: &InputQueues, method: &str, url: &str, body: Option<&[u8]>) -> Option<u16> {
     let request = Request { method, url, body };
-    peer_request(ReqId(1), &request, core).map(|answer| answer.status)
+    let refusals = Refusals::default();
+    let intake = Intake {
+        core,
+        refusals: &refusals,
+    };
+    let status = peer_request(ReqId(1), &request, &intake).map(|answer| answer.status);
+    let counted = refusals.unreadable.get() + refusals.queue_full.get();
+    let counts = body.is_some() && matches!(status, Some(400 | 503));
+    assert_eq!(counted, u64::from(counts), "what is refused is counted");
+    status
 }
 
 /// What a peer can't have meant is refused at once, and nothing of it reaches the core.
 #[test]
 fn garbled_messages_of_peers_are_refused() {
-    let (core, reports, others) = wires();
+    let (core, waiting) = queues();
     let told = Announcement {
         from: "n1".into(),
         known_to: Version(3),
@@ -40,10 +54,10 @@
         );
         assert_eq!(ask(&core, "GET", &path, Some(&good)), Some(404), "{path}");
     }
-    assert!(reports.is_empty() && others.is_empty());
+    assert!(waiting.iter().all(Receiver::is_empty));
     assert_eq!(ask(&core, "POST", "/peer/announce", Some(&good)), None);
     assert!(matches!(
-        others.try_recv(),
+        waiting[0].try_recv(),
         Ok(Input::Announced(ReqId(1), _))
     ));
 }
@@ -51,7 +65,7 @@
 /// A forwarded request names a job that can be, or is refused.
 #[test]
 fn a_forwarded_request_is_read_like_one_of_a_user() {
-    let (core, _, others) = wires();
+    let (core, waiting) = queues();
     let forward = |f: &Forward| ask(&core, "POST", "/peer/forward", Some(&bitcode::encode(f)));
     assert_eq!(forward(&Forward::Status("wk-".into())), Some(400));
     assert_eq!(forward(&Forward::Withdraw("../x".into())), Some(400));
@@ -60,15 +74,15 @@
         Some(400)
     );
     assert_eq!(forward(&Forward::Admin("/admin/nothing".into())), Some(400));
-    assert!(others.is_empty());
+    assert!(waiting.iter().all(Receiver::is_empty));
     assert_eq!(forward(&Forward::Status("wk-000001".into())), None);
-    assert!(matches!(others.try_recv(), Ok(Input::Forwarded(..))));
+    assert!(matches!(waiting[1].try_recv(), Ok(Input::Forwarded(..))));
 }
 
 /// When the core is too far behind, whoever asks is told so at once.
 #[test]
 fn what_finds_the_core_full_is_refused() {
-    let (core, _reports, _others) = wires();
+    let (core, _waiting) = queues();
     let reply = Announcement {
         from: Epoch(1).to_string(),
         known_to: Version(3),
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -8,23 +8,22 @@
 
 mod parse;
 
+use crate::counters::Refusals;
 use crossbeam_channel::{bounded, Receiver, Sender};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use parse::{parse, Parsed, MAX_HEAD};
 use rudderreel_core::ReqId;
 use slab::Slab;
+use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// What is read at once.
 const SCRATCH: usize = 64 * 1024;
-/// Answers that may wait to be written. More can't be open than there are connections; whoever
-/// sends one more waits until the server's thread has taken some.
-const ANSWERS: usize = 4_096;
 /// A request that is not complete, or an answer that is not taken, after so long ends its
 /// connection, as does one that has never said anything.
 const STALLED: Duration = Duration::from_secs(15);
@@ -136,11 +135,23 @@
     workers: usize,
     serial: u32,
     limits: Limits,
+    refusals: Arc<Refusals>,
     answers: Receiver<(ReqId, Answer)>,
     awake: Arc<AtomicBool>,
     scratch: Vec<u8>,
 }
 
+/// Listens with room for as many connections that wait to be accepted as are ever taken: a whole fleet may
+/// come at once, and what finds no room is dropped and tried again a second later.
+fn bind(addr: SocketAddrV4, waiting: usize) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::V4(addr).into())?;
+    socket.listen(i32::try_from(waiting).unwrap_or(i32::MAX))?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 /// Which server a request came to.
 pub fn mark_of(id: ReqId) -> u64 {
     id.0 >> 56
@@ -148,14 +159,20 @@
 
 impl Server {
     /// Listens at an address.
-    pub fn listen(addr: SocketAddrV4, mark: u8, limits: Limits) -> Result<(Self, Answers), String> {
+    pub fn listen(
+        addr: SocketAddrV4,
+        mark: u8,
+        limits: Limits,
+        refusals: Arc<Refusals>,
+    ) -> Result<(Self, Answers), String> {
         let failed = |e: std::io::Error| format!("{addr}: {e}");
         let poll = Poll::new().map_err(failed)?;
-        let mut listener = TcpListener::bind(addr.into()).map_err(failed)?;
+        let mut listener = bind(addr, limits.connections).map_err(failed)?;
         let registry = poll.registry();
         (registry.register(&mut listener, LISTENER, Interest::READABLE)).map_err(failed)?;
         let waker = Arc::new(Waker::new(registry, WAKER).map_err(failed)?);
-        let (queue, answers) = bounded(ANSWERS);
+        // A connection has one request open at a time, so no more answers can be wanted.
+        let (queue, answers) = bounded(limits.connections);
         let awake = Arc::new(AtomicBool::new(false));
         let server = Self {
             mark: u64::from(mark),
@@ -165,6 +182,7 @@
             workers: 0,
             serial: 0,
             limits,
+            refusals,
             answers,
             awake: awake.clone(),
             scratch: vec![0; SCRATCH],
@@ -177,6 +195,15 @@
         Ok((server, answers))
     }
 
+    /// Where it listens.
+    #[cfg(test)]
+    pub fn addr(&self) -> Option<SocketAddrV4> {
+        match self.listener.local_addr().ok()? {
+            SocketAddr::V4(addr) => Some(addr),
+            SocketAddr::V6(_) => None,
+        }
+    }
+
     /// Serves for ever. `handle` answers a request, or sees to it that it is answered later.
     pub fn serve(mut self, mut handle: impl FnMut(ReqId, Request) -> Option<Answer>) {
         let mut events = Events::with_capacity(512);
@@ -232,6 +259,7 @@
             if self.connections.len() >= self.limits.connections && !self.make_room(now) {
                 // It can't be read from, so it is told at once, as far as that goes.
                 let _ = stream.write(REFUSAL);
+                self.refusals.connections.add();
                 log::debug!("a connection too many");
                 continue;
             }
@@ -384,6 +412,7 @@
             }
             Parsed::Bad => {
                 connection.close = true;
+                self.refusals.unreadable.add();
                 self.begin_answer(at, &Answer::error(400, "not HTTP"));
                 return bytes.len();
             }
@@ -393,11 +422,15 @@
         connection.spoken = true;
         connection.told_to_go = false;
         connection.close = parsed.close || parsed.body.is_none();
+        if parsed.body.is_none() {
+            self.refusals.too_long.add();
+        }
         connection.stage = Stage::Deciding;
         let used = parsed.used;
         if !connection.worker && parsed.url == REPORT {
             if self.workers >= self.limits.workers {
                 connection.close = true;
+                self.refusals.workers_sent_on.add();
                 self.begin_answer(at, &Answer::elsewhere());
                 return used;
             }
--- a/crates/controller/src/http/tests.rs
+++ b/crates/controller/src/http/tests.rs
@@ -10,11 +10,8 @@
 /// A server on loopback that answers everything but reports at once; those from another thread.
 fn start() -> SocketAddrV4 {
     let any = "127.0.0.1:0".parse().expect("an address");
-    let (server, answers) = Server::listen(any, 1, LIMITS).expect("it listens");
-    let addr = match server.listener.local_addr().expect("an address") {
-        std::net::SocketAddr::V4(addr) => addr,
-        std::net::SocketAddr::V6(_) => panic!("not asked for"),
-    };
+    let (server, answers) = Server::listen(any, 1, LIMITS, Arc::default()).expect("it listens");
+    let addr = server.addr().expect("an address");
     std::thread::spawn(move || {
         server.serve(|id, request| {
             if request.url == REPORT {
@@ -153,12 +150,9 @@
 #[test]
 fn late_answers_are_dropped() {
     let any = "127.0.0.1:0".parse().expect("an address");
-    let (mut server, _) = Server::listen(any, 1, LIMITS).expect("it listens");
+    let (mut server, _) = Server::listen(any, 1, LIMITS, Arc::default()).expect("it listens");
     let mut ids = Vec::new();
-    let _client = open(match server.listener.local_addr().expect("an address") {
-        std::net::SocketAddr::V4(addr) => addr,
-        std::net::SocketAddr::V6(_) => panic!("not asked for"),
-    });
+    let _client = open(server.addr().expect("an address"));
     while server.connections.is_empty() {
         server.accept();
     }
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -3,9 +3,14 @@
 
 mod admin;
 mod clients;
+mod clock;
+mod counters;
 mod front;
 mod http;
+mod inputs;
 mod logs;
+mod outgoing;
+mod process_limits;
 mod requests;
 mod shell;
 
--- /dev/null
+++ b/crates/controller/src/outgoing.rs
@@ -0,0 +1,356 @@
+//! Where the core's outputs go: threads that call the state service, the cloud, workers and peers, behind
+//! bounded queues. A call that finds its queue full is answered as not made, so that the core never waits
+//! for an answer that can't come.
+
+use crate::clients::{self, Watched};
+use crate::clock::Clock;
+use crate::front::Open;
+use crate::inputs::InputQueues;
+use crate::process_limits::ProcessLimits;
+use crossbeam_channel::{bounded, Sender};
+use rudderreel_core::units::Time;
+use rudderreel_core::{
+    CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
+};
+use rudderreel_wire::ids::{MachineId, NodeName, Version};
+use rudderreel_wire::peer::{Announcement, Forward, Heartbeat, Reports};
+use rudderreel_wire::settings::Settings;
+use rudderreel_wire::worker::DirectCommands;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Calls to the state service and the cloud that may wait for a thread. The core has fewer open.
+const CALLS: usize = 256;
+/// Threads for calls to the state service, as many as the core has calls open in an ordinary moment.
+const STATE_THREADS: usize = 12;
+/// Threads for its leases, which other calls must not hold up.
+const LEASE_THREADS: usize = 2;
+/// Threads for calls to the cloud; the core has three open at most.
+const CLOUD_THREADS: usize = 3;
+/// The part of the state service's limit that the nodes' watches may use together: each is asked
+/// for again after every change.
+const WATCH_PART: f64 = 0.2;
+/// The longest pause that comes of it.
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a watch that got no answer.
+const WATCH_RETRY: Duration = Duration::from_millis(300);
+/// Stack of a thread.
+const STACK: usize = 128 * 1024;
+
+/// A call to a worker.
+struct WorkerCall {
+    machine: MachineId,
+    addr: String,
+    body: DirectCommands,
+}
+
+/// A message to a peer.
+enum PeerMessage {
+    Heartbeat(Heartbeat),
+    Forward(ReqId, Forward),
+    Reports(CallId, Reports),
+    Announce(NodeName, Announcement),
+}
+
+/// Queues of messages to one peer.
+struct PeerQueues {
+    heartbeats: Sender<PeerMessage>,
+    forwards: Sender<PeerMessage>,
+    reports: Sender<PeerMessage>,
+    announcements: Sender<PeerMessage>,
+}
+
+/// Where the core's outputs go.
+pub struct Outgoing {
+    open: Open,
+    state: Sender<(CallId, StateCall)>,
+    leases: Sender<(CallId, StateCall)>,
+    watch: Sender<Version>,
+    cloud: Sender<(CallId, CloudCall)>,
+    commands: Sender<WorkerCall>,
+    probes: Sender<WorkerCall>,
+    peers: BTreeMap<NodeName, PeerQueues>,
+}
+
+/// Starts a named thread.
+pub fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let thread = thread::Builder::new().name(name.into()).stack_size(STACK);
+    thread
+        .spawn(work)
+        .map(|_| ())
+        .map_err(|e| format!("thread {name}: {e}"))
+}
+
+/// Whether a call concerns a lease of this node.
+fn is_about_lease(call: &StateCall) -> bool {
+    matches!(
+        call,
+        StateCall::NewLease(_) | StateCall::Renew(_) | StateCall::EndLease(_)
+    )
+}
+
+impl Outgoing {
+    /// Sends an output on its way. If it is a call that can't be made, returns its answer.
+    pub fn send(&self, output: Output, now: Time) -> Option<Input> {
+        match output {
+            Output::Answer {
+                req,
+                status,
+                body,
+                retry_after,
+            } => {
+                self.open.answer(req, status, body, retry_after);
+                None
+            }
+            Output::AnswerHeartbeat(req, reply) => {
+                self.open.answer_bytes(req, bitcode::encode(&reply));
+                None
+            }
+            Output::AnswerReports(req, reply) => {
+                self.open.answer_bytes(req, bitcode::encode(&reply));
+                None
+            }
+            Output::State(id, call) => {
+                let queue = if is_about_lease(&call) {
+                    &self.leases
+                } else {
+                    &self.state
+                };
+                let sent = queue.try_send((id, call)).is_ok();
+                (!sent).then_some(Input::State(id, now, StateAnswer::Refused))
+            }
+            Output::Watch(after) => {
+                (self.watch.try_send(after).is_err()).then_some(Input::WatchLost)
+            }
+            Output::Cloud(id, call) => (self.cloud.try_send((id, call)).is_err())
+                .then_some(Input::Cloud(id, CloudAnswer::Refused)),
+            Output::Direct {
+                machine,
+                addr,
+                body,
+            } => self.direct(machine, addr, body),
+            Output::Heartbeat(beat) => {
+                for peer in self.peers.values() {
+                    // A peer that is still busy with the last one gets the next.
+                    let _ = peer
+                        .heartbeats
+                        .try_send(PeerMessage::Heartbeat(beat.clone()));
+                }
+                None
+            }
+            Output::Forward(peer, req, request) => {
+                let sent = (self.peers.get(&peer)).is_some_and(|p| {
+                    p.forwards
+                        .try_send(PeerMessage::Forward(req, request))
+                        .is_ok()
+                });
+                (!sent).then_some(Input::ForwardReply(req, None))
+            }
+            Output::AnswerAnnounced(req, reply) => {
+                self.open.answer_bytes(req, bitcode::encode(&reply));
+                None
+            }
+            Output::Announce(peer, announcement) => {
+                let job = PeerMessage::Announce(peer.clone(), announcement);
+                let sent =
+                    (self.peers.get(&peer)).is_some_and(|p| p.announcements.try_send(job).is_ok());
+                (!sent).then_some(Input::AnnounceReply(peer, None))
+            }
+            Output::PassReports(peer, id, reports) => {
+                let sent = (self.peers.get(&peer)).is_some_and(|p| {
+                    p.reports
+                        .try_send(PeerMessage::Reports(id, reports))
+                        .is_ok()
+                });
+                (!sent).then_some(Input::ReportsReply(id, None))
+            }
+        }
+    }
+
+    fn direct(&self, machine: MachineId, addr: String, body: DirectCommands) -> Option<Input> {
+        let queue = if body.commands.is_empty() {
+            &self.probes
+        } else {
+            &self.commands
+        };
+        let call = WorkerCall {
+            machine,
+            addr,
+            body,
+        };
+        let call = queue.try_send(call).err()?.into_inner();
+        let outcome = DirectOutcome::NotCalled;
+        Some(Input::Direct(call.machine, call.body, outcome))
+    }
+}
+
+/// Starts the threads that make calls.
+pub fn start(
+    settings: &Settings,
+    limits: &ProcessLimits,
+    clock: Clock,
+    inputs: &InputQueues,
+    open: Open,
+) -> Result<Outgoing, String> {
+    let core = &inputs.control;
+    let services = &settings.services;
+    let mut peers = BTreeMap::new();
+    for peer in &settings.peers {
+        let queues = PeerQueues {
+            heartbeats: start_peer(peer.addr, clock, core, 1, 1)?,
+            forwards: start_peer(peer.addr, clock, core, 2, 32)?,
+            reports: start_peer(peer.addr, clock, core, 2, 4)?,
+            announcements: start_peer(peer.addr, clock, core, 1, 1)?,
+        };
+        peers.insert(peer.node.clone(), queues);
+    }
+    Ok(Outgoing {
+        open,
+        state: start_state("state", STATE_THREADS, services.state, clock, core)?,
+        leases: start_state("lease", LEASE_THREADS, services.state, clock, core)?,
+        watch: start_watch(settings, core)?,
+        cloud: start_cloud(services.cloud, core)?,
+        commands: start_workers("command", limits.command_threads, limits.calls, core)?,
+        probes: start_workers("probe", limits.probe_threads, limits.calls, core)?,
+        peers,
+    })
+}
+
+fn start_state(
+    name: &str,
+    threads: usize,
+    addr: SocketAddrV4,
+    clock: Clock,
+    core: &Sender<Input>,
+) -> Result<Sender<(CallId, StateCall)>, String> {
+    let (calls, queue) = bounded::<(CallId, StateCall)>(CALLS);
+    let agent = clients::agent(400, 1_200);
+    for i in 0..threads {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("{name}-{i}"), move || {
+            for (id, call) in queue {
+                let sent = clock.time();
+                let answer = clients::call_state(&agent, addr, &call);
+                if core.send(Input::State(id, sent, answer)).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(calls)
+}
+
+fn start_watch(settings: &Settings, core: &Sender<Input>) -> Result<Sender<Version>, String> {
+    let addr = settings.services.state;
+    let rate = settings.params.state.rps * WATCH_PART / f64::from(settings.params.nodes.max(1));
+    let pause = Duration::from_secs_f64(1.0 / rate.max(0.1)).min(WATCH_PAUSE);
+    let (starts, queue) = bounded::<Version>(4);
+    let agent = clients::agent(400, 12_000);
+    let core = core.clone();
+    spawn("watch", move || {
+        for mut after in queue {
+            let asked = Instant::now();
+            let input = loop {
+                match clients::watch(&agent, addr, "pub/", after) {
+                    Watched::Events(e) if e.events.is_empty() => after = e.revision.max(after),
+                    Watched::Events(e) => break Input::Watched(e.revision, e.events),
+                    Watched::Lost => break Input::WatchLost,
+                    Watched::Failed => thread::sleep(WATCH_RETRY),
+                }
+            };
+            if core.send(input).is_err() {
+                return;
+            }
+            thread::sleep(pause.saturating_sub(asked.elapsed()));
+        }
+    })?;
+    Ok(starts)
+}
+
+fn start_cloud(
+    addr: SocketAddrV4,
+    core: &Sender<Input>,
+) -> Result<Sender<(CallId, CloudCall)>, String> {
+    let (calls, queue) = bounded::<(CallId, CloudCall)>(CALLS);
+    let agent = clients::agent(1_000, 4_000);
+    for i in 0..CLOUD_THREADS {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("cloud-{i}"), move || {
+            for (id, call) in queue {
+                let answer = clients::call_cloud(&agent, addr, &call);
+                if core.send(Input::Cloud(id, answer)).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(calls)
+}
+
+fn start_workers(
+    name: &str,
+    threads: usize,
+    waiting: usize,
+    core: &Sender<Input>,
+) -> Result<Sender<WorkerCall>, String> {
+    let (calls, queue) = bounded::<WorkerCall>(waiting);
+    let agent = clients::agent(400, 1_000);
+    for i in 0..threads {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("{name}-{i}"), move || {
+            for call in queue {
+                let outcome = clients::call_worker(&agent, &call.addr, &call.body);
+                let input = Input::Direct(call.machine, call.body, outcome);
+                if core.send(input).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(calls)
+}
+
+fn start_peer(
+    addr: SocketAddrV4,
+    clock: Clock,
+    core: &Sender<Input>,
+    threads: usize,
+    waiting: usize,
+) -> Result<Sender<PeerMessage>, String> {
+    let (messages, queue) = bounded::<PeerMessage>(waiting);
+    let agent = clients::agent(300, 1_000);
+    for i in 0..threads {
+        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        spawn(&format!("peer-{i}"), move || {
+            for message in queue {
+                let input = match message {
+                    PeerMessage::Heartbeat(beat) => {
+                        let sent = clock.time();
+                        match clients::heartbeat(&agent, addr, &beat) {
+                            Some(reply) => Input::HeartbeatReply(sent, reply),
+                            None => continue,
+                        }
+                    }
+                    PeerMessage::Reports(id, reports) => {
+                        Input::ReportsReply(id, clients::pass_reports(&agent, addr, &reports))
+                    }
+                    PeerMessage::Announce(peer, told) => {
+                        Input::AnnounceReply(peer, clients::announce(&agent, addr, &told))
+                    }
+                    PeerMessage::Forward(req, request) => {
+                        Input::ForwardReply(req, clients::forward(&agent, addr, &request))
+                    }
+                };
+                if core.send(input).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(messages)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/controller/src/shell/tests.rs
+++ b/crates/controller/src/outgoing/tests.rs
@@ -2,13 +2,14 @@
 use rudderreel_wire::ids::{Epoch, Session};
 
 /// Channels that take nothing.
-fn full() -> Wires {
-    Wires {
+fn full() -> Outgoing {
+    Outgoing {
         open: Open::default(),
         state: bounded(0).0,
+        leases: bounded(0).0,
         watch: bounded(0).0,
         cloud: bounded(0).0,
-        workers: bounded(0).0,
+        commands: bounded(0).0,
         probes: bounded(0).0,
         peers: BTreeMap::new(),
     }
@@ -18,7 +19,7 @@
 /// called again.
 #[test]
 fn a_call_that_can_not_be_made_is_answered() {
-    let (wires, now, id) = (full(), Time(1), CallId(7));
+    let (outgoing, now, id) = (full(), Time(1), CallId(7));
     let body = DirectCommands {
         token: Epoch(1),
         session: Session(1),
@@ -39,6 +40,7 @@
     };
     let answers: Vec<Option<Input>> = [
         Output::State(id, StateCall::Get("epoch".into())),
+        Output::State(id, StateCall::NewLease(3_000)),
         Output::Watch(Version(3)),
         Output::Cloud(id, CloudCall::Catalog),
         direct,
@@ -47,11 +49,12 @@
         Output::Announce("n1".into(), announcement),
     ]
     .into_iter()
-    .map(|output| wires.send(output, now))
+    .map(|output| outgoing.send(output, now))
     .collect();
     assert!(matches!(
         answers.as_slice(),
         [
+            Some(Input::State(CallId(7), _, StateAnswer::Refused)),
             Some(Input::State(CallId(7), _, StateAnswer::Refused)),
             Some(Input::WatchLost),
             Some(Input::Cloud(CallId(7), CloudAnswer::Refused)),
@@ -62,3 +65,16 @@
         ]
     ));
 }
+
+/// Renewals waited behind whatever else was sent to the state service, which may hang for a second.
+#[test]
+fn a_renewal_does_not_wait_behind_other_calls() {
+    let (leases, renewals) = bounded(1);
+    let outgoing = Outgoing { leases, ..full() };
+    let renew = Output::State(
+        CallId(8),
+        StateCall::Renew(rudderreel_wire::ids::LeaseId(3)),
+    );
+    assert!(outgoing.send(renew, Time(1)).is_none());
+    assert_eq!(renewals.len(), 1);
+}
--- a/crates/core/src/actions/gather.rs
+++ b/crates/core/src/actions/gather.rs
@@ -76,7 +76,7 @@
         .filter(|(_, s)| zone.is_none_or(|z| z == s.zone_no) && s.kept_for.is_none())
         .filter(|(_, s)| fit::suits(lead, picture, job, s))
         .map(|(i, s)| {
-            let (wait, count) = free_in(lead, picture, job, s);
+            let (wait, count) = free_in(job, s);
             (wait, i, count)
         })
         .filter(|(_, _, count)| *count > 0)
@@ -95,28 +95,10 @@
 }
 
 /// In how many seconds a machine will probably have room for tasks of a job, and for how many.
-fn free_in(lead: &Lead, picture: &Snapshot, job: &Job, spot: &Spot) -> (f64, u32) {
-    let now_free = (spot.free - spot.held).count(&job.need);
-    if now_free > 0 {
-        return (0.0, now_free);
+fn free_in(job: &Job, spot: &Spot) -> (f64, u32) {
+    let free = spot.free - spot.held;
+    match free.count(&job.need) {
+        0 => (spot.ended_in_s, (free + spot.ending).count(&job.need)),
+        now_free => (0.0, now_free),
     }
-    let Some(machine) = lead.machines.get(&spot.id) else {
-        return (f64::INFINITY, 0);
-    };
-    let mut room = spot.free - spot.held;
-    let mut wait: f64 = 0.0;
-    for entry in machine.entries.iter().filter(|e| e.holds_room()) {
-        let Some(spec) = &entry.spec else {
-            continue;
-        };
-        if spec.kind != Kind::Service {
-            let ran = entry
-                .running
-                .map_or(0.0, |t| (picture.now.time - t).as_secs());
-            // What has run longer than its owner thought will run for a while yet.
-            wait = wait.max((spec.estimate_s - ran).max(ran * 0.3).max(2.0));
-            room += entry.need;
-        }
-    }
-    (wait, room.count(&job.need))
 }
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -1,22 +1,26 @@
 //! The administration API: operators' settings, and explanations. Any node answers; what only the
 //! leader knows is asked of it.
 
+mod views;
+
 use crate::core::{Core, Purpose};
+use crate::fleet_limits::FleetLimits;
 use crate::io::{error_body, json, Output, ReqId, StateAnswer, StateCall};
-use crate::job::{Job, Stage};
 use crate::lead::Lead;
-use crate::placement_tracking::Phase;
 use crate::records::ADMIN;
-use crate::snapshot::Snapshot;
 use crate::state_calls::Urgency;
-use crate::tree::{amounts, TeamTree};
+use crate::tree::TeamTree;
 use crate::units::{Now, Span};
 use rudderreel_wire::admin::{AdminSettings, Versioned};
-use rudderreel_wire::ids::{JobId, Version};
+use rudderreel_wire::ids::{JobId, MachineId, Version};
 use rudderreel_wire::peer::Forward;
 use rudderreel_wire::state::{Change, Condition, Transaction};
 use serde_json::{json, Value};
 
+/// Path of the list of machines, and what asks for those after a name.
+const MACHINES: &str = "/admin/machines";
+const AFTER: &str = "?after=";
+
 /// What an administrator asks for.
 #[derive(Clone, Debug)]
 pub enum AdminRequest {
@@ -24,8 +28,8 @@
     Overview,
     /// Who uses what, against quota, limit and share.
     Teams,
-    /// Machines, and what they cost.
-    Machines,
+    /// Machines after a name, and what they cost.
+    Machines(Option<MachineId>),
     /// Why a job is where it is.
     Job(JobId),
     /// Tasks that were stopped lately, and why.
@@ -42,7 +46,8 @@
         match self {
             Self::Overview => "/admin/overview".into(),
             Self::Teams => "/admin/teams".into(),
-            Self::Machines => "/admin/machines".into(),
+            Self::Machines(None) => MACHINES.into(),
+            Self::Machines(Some(after)) => format!("{MACHINES}{AFTER}{after}"),
             Self::Job(id) => format!("/admin/jobs/{id}"),
             Self::Stops => "/admin/stops".into(),
             Self::Settings | Self::Replace(_) => "/admin/settings".into(),
@@ -51,10 +56,16 @@
 
     /// The request of a GET path.
     pub fn of_path(path: &str) -> Option<Self> {
+        let after = path
+            .strip_prefix(MACHINES)
+            .and_then(|p| p.strip_prefix(AFTER));
+        if let Some(after) = after.filter(|name| !name.is_empty()) {
+            return Some(Self::Machines(Some(after.into())));
+        }
         Some(match path {
             "/admin/overview" => Self::Overview,
             "/admin/teams" => Self::Teams,
-            "/admin/machines" => Self::Machines,
+            MACHINES => Self::Machines(None),
             "/admin/stops" => Self::Stops,
             "/admin/settings" => Self::Settings,
             _ => Self::Job(path.strip_prefix("/admin/jobs/")?.parse().ok()?),
@@ -120,8 +131,10 @@
                 }
                 Some(lead) => {
                     let (status, body) = match request {
-                        AdminRequest::Teams => (200, teams(lead, now)),
-                        AdminRequest::Machines => (200, machines(lead, now)),
+                        AdminRequest::Teams => (200, views::teams(lead, now)),
+                        AdminRequest::Machines(after) => {
+                            (200, views::machines(lead, after.as_ref(), now))
+                        }
                         AdminRequest::Stops => (200, json!({ "stops": lead.stops })),
                         AdminRequest::Job(id) => self.explain(lead, &id, now),
                         _ => (200, self.overview(now)),
@@ -229,6 +242,8 @@
             "unreadable_records": self.job_cache.unreadable,
             "jobs_unfinished": lead.map(|l| l.jobs.len()),
             "machines": lead.map(|l| l.machines.len()),
+            "connections_for": FleetLimits::of(&self.settings),
+            "machines_beyond_connections": lead.map(|l| l.beyond_connections),
             "pages": lead.map(|l| l.placement_log.len()),
             "counters": lead.map(|l| &l.counters),
             "answers_ms": self.user_requests.latency.summary(),
@@ -239,151 +254,6 @@
             }),
         })
     }
-
-    fn explain(&self, lead: &Lead, id: &JobId, now: Now) -> (u16, Value) {
-        let Some(job) = lead.jobs.get(id) else {
-            return match self.job_cache.jobs.get(id) {
-                Some(known) => (
-                    200,
-                    json!({
-                        "id": id, "state": known.record.state,
-                        "cancelled_with": known.record.cancelled_by,
-                    }),
-                ),
-                None => (404, json!({ "error": "no such job" })),
-            };
-        };
-        let tasks: Vec<Value> = (job.places.iter())
-            .flat_map(|(index, places)| places.iter().map(move |p| (index, p)))
-            .take(MOST_LISTED)
-            .map(|(index, (machine, attempt))| {
-                let entry = (lead.machines.get(machine)).and_then(|m| {
-                    m.entries
-                        .iter()
-                        .find(|e| e.attempt == *attempt && e.task.index == *index)
-                });
-                json!({
-                    "task": index, "machine": machine, "attempt": attempt,
-                    "phase": entry.map(|e| phase(e.phase)),
-                    "stopping": entry.and_then(|e| e.stop).map(|s| s.why),
-                })
-            })
-            .collect();
-        let body = json!({
-            "id": id,
-            "team": job.spec.team,
-            "cancelled": job.stage != Stage::Active,
-            "waits_for": job.unmet.iter().take(MOST_LISTED).collect::<Vec<_>>(),
-            "needed_by": (self.job_cache.graph.dependents_of(id))
-                .take(MOST_LISTED)
-                .collect::<Vec<_>>(),
-            "priority": job.goal.priority,
-            "finish_by_ms": job.goal.finish_by.map(|wall| wall.0),
-            "done": job.done.len(),
-            "of": job.spec.tasks,
-            "to_start": job.free_tasks(),
-            "why": why_waiting(lead, job, now),
-            "tasks": tasks,
-        });
-        (200, body)
-    }
-}
-
-/// Lists are cut at this length.
-const MOST_LISTED: usize = 200;
-
-fn phase(phase: Phase) -> String {
-    match phase {
-        Phase::Planned => "to be started".into(),
-        Phase::Sent => "start sent".into(),
-        Phase::On(state) => format!("{state:?}").to_lowercase(),
-        Phase::Exited(why) => format!("exited: {why:?}").to_lowercase(),
-    }
-}
-
-/// What keeps a job's next task from starting.
-fn why_waiting(lead: &Lead, job: &Job, now: Now) -> &'static str {
-    if !job.is_active() {
-        return "it was cancelled";
-    }
-    if !job.is_ready() {
-        return "it waits for jobs that it depends on";
-    }
-    if job.is_suspected() {
-        return "it fails wherever it is tried, perhaps for a mistake; it is tried now and then";
-    }
-    if job.free_tasks() == 0 {
-        return "all its tasks are placed or done";
-    }
-    if job.not_before > now.time {
-        return "its tasks failed, and it waits a little before the next try";
-    }
-    let picture = Snapshot::take(lead, now);
-    if !picture.within_limits(lead, job, &amounts(&job.need)) {
-        return if job.evictable() {
-            "its team's limit is used up"
-        } else {
-            "its team's quota is used up, and work at priority 100 or above can't borrow"
-        };
-    }
-    if crate::actions::has_room(lead, &picture, job) {
-        "it is placed in the next cycle"
-    } else if lead.rentals.open.is_empty() && !lead.is_booting() {
-        "no machine has room for it, and none could be rented"
-    } else {
-        "no machine has room for it; machines are being rented or boot"
-    }
-}
-
-fn teams(lead: &Lead, now: Now) -> Value {
-    let picture = Snapshot::take(lead, now);
-    let finite = |x: f64| x.is_finite().then_some(x);
-    let rows: Vec<Value> = (lead.tree.nodes.iter().enumerate().skip(1))
-        .map(|(i, team)| {
-            json!({
-                "team": team.name,
-                "parent": team.parent.map(|p| &lead.tree.nodes[p].name),
-                "priority": team.priority,
-                "weight": team.weight,
-                "cpus": {"used": picture.used[i][0], "of_share": picture.counted[i][0], "share": picture.share[i][0],
-                    "quota": finite(team.quota[0]), "limit": finite(team.limit[0])},
-                "gpus": {"used": picture.used[i][1], "of_share": picture.counted[i][1], "share": picture.share[i][1],
-                    "quota": finite(team.quota[1]), "limit": finite(team.limit[1])},
-                "saturation": finite(picture.saturation(i)),
-            })
-        })
-        .collect();
-    json!({ "teams": rows })
-}
-
-fn machines(lead: &Lead, now: Now) -> Value {
-    let mut per_hour = 0.0;
-    let rows: Vec<Value> = (lead.machines.values())
-        .map(|m| {
-            let price = lead.machine_type(&m.machine_type).and_then(|t| {
-                if m.spot {
-                    t.spot_price
-                } else {
-                    Some(t.price)
-                }
-            });
-            per_hour += price.unwrap_or(0.0);
-            let free = m.free();
-            json!({
-                "machine": m.id, "type": m.machine_type, "zone": m.zone, "spot": m.spot,
-                "age_s": Lead::age(m, now.wall).as_secs(),
-                "silent_s": m.last_heard.map(|t| (now.time - t).as_secs()),
-                "tasks": m.entries.iter().filter(|e| e.holds_room()).count(),
-                "free_cpus": free.cpus as f64 / 1000.0,
-                "free_gpus": free.gpus as f64 / 1000.0,
-                "going": m.retire, "price_per_hour": price,
-                "failed_jobs": m.blamed.iter().map(|(j, _)| j).collect::<Vec<_>>(),
-                "quarantined_s": (m.quarantine - now.time).as_secs(),
-            })
-        })
-        .take(MOST_LISTED)
-        .collect();
-    json!({ "machines": rows, "price_per_hour": per_hour })
 }
 
 /// A stop, as it is told.
--- /dev/null
+++ b/crates/core/src/admin/views/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+use crate::testing::{lead, up, NOW};
+
+/// Only the first 200 machines were shown, without saying so, and only their cost was added up.
+#[test]
+fn all_machines_are_listed_in_pages_and_all_are_paid_for() {
+    for fleet in [4_000, 6_000] {
+        let mut lead = lead();
+        for n in 0..fleet {
+            up(&mut lead, &format!("vm-{n:06}"), "a");
+        }
+        let (mut seen, mut after) = (0, None);
+        loop {
+            let page = machines(&lead, after.as_ref(), NOW);
+            seen += page["machines"].as_array().map_or(0, Vec::len);
+            assert_eq!(page["of"], fleet);
+            assert_eq!(page["price_per_hour"], fleet as f64);
+            match page["next_after"].as_str() {
+                Some(name) => after = Some(MachineId::from(name)),
+                None => break,
+            }
+        }
+        assert_eq!(seen, fleet);
+    }
+}
+
+#[test]
+fn a_page_is_asked_for_by_its_path() {
+    use crate::admin::AdminRequest;
+    let after = AdminRequest::Machines(Some("vm-000200".into()));
+    for request in [AdminRequest::Machines(None), after] {
+        let path = request.path();
+        let read = AdminRequest::of_path(&path).expect("a request");
+        assert_eq!(read.path(), path);
+    }
+    assert!(AdminRequest::of_path("/admin/machines?after=").is_none());
+    assert!(AdminRequest::of_path("/admin/machinesx").is_none());
+}
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -5,7 +5,9 @@
 use crate::lead::Lead;
 use crate::placement_tracking::Machine;
 use crate::units::{Now, Span, Time};
-use rudderreel_wire::cloud::{ListedMachine, ListedState, MachineNames, Rent};
+use rudderreel_wire::cloud::{
+    ListedMachine, ListedState, MachineNames, Rent, MACHINES_PER_PAGE, MACHINES_PER_RETURN,
+};
 use rudderreel_wire::ids::{Attempt, Epoch, JobId, MachineId, TypeName, Zone};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -57,8 +59,8 @@
     Rent(Rent),
     /// Return machines.
     Return(Vec<MachineId>),
-    /// Read a page of the list.
-    List,
+    /// Read a page of the list, after a machine.
+    List(Option<MachineId>),
 }
 
 /// The cloud charges a machine for so long at least.
@@ -75,6 +77,8 @@
 const RETURNS: Span = Span(2_000);
 /// So long a follower waits for the stored machine types before it asks for them.
 const CATALOG_WAIT: Span = Span(10_000);
+/// The part of the calls to the cloud that the list may take.
+const LIST_PART: f64 = 0.25;
 /// Why idle machines are returned.
 const IDLE: &str = "idle";
 
@@ -153,6 +157,12 @@
         }
     }
 
+    /// In what time a fleet of a size may be listed once, so that its pages take a part of the calls.
+    fn listing_span(&self, machines: usize) -> Span {
+        let pages = machines.div_ceil(MACHINES_PER_PAGE).max(1);
+        Span::secs(pages as f64 / (self.rate * LIST_PART))
+    }
+
     fn has(&self, wanted: impl Fn(&CloudStep) -> bool) -> bool {
         self.open.values().any(&wanted) || self.queue.iter().any(|(_, s)| wanted(s))
     }
@@ -200,7 +210,7 @@
                 .is_some_and(|t| now.time - t < Span(5_000));
             let urgent = machine.retire.is_some_and(|why| why != IDLE);
             let due = machine.retire.is_some() && (urgent || machine.entries.is_empty());
-            if due && !asked && names.len() < 100 {
+            if due && !asked && names.len() < MACHINES_PER_RETURN {
                 names.push(machine.id.clone());
             }
         }
@@ -371,9 +381,10 @@
             }
         }
         let list_due = now.time >= cloud.next_list;
-        if list_due && !cloud.has(|s| matches!(s, CloudStep::List)) {
-            cloud.next_list = now.time + Span(4_000).max(self.list_lag);
-            cloud.call(CloudCall::List(None), CloudStep::List);
+        if list_due && !cloud.has(|s| matches!(s, CloudStep::List(_))) {
+            let pause = Span(4_000).max(self.list_lag);
+            cloud.next_list = now.time + pause.max(cloud.listing_span(lead.machines.len()));
+            cloud.call(CloudCall::List(None), CloudStep::List(None));
         }
         cloud.pump(now.time, &mut self.out);
     }
@@ -409,13 +420,20 @@
                     }
                 }
             }
-            (CloudStep::List, CloudAnswer::Page(page)) => {
+            // What is missing of a list that takes many pages would not be read for long if it was begun
+            // anew each time.
+            (CloudStep::List(after), CloudAnswer::Refused | CloudAnswer::Unknown) => {
+                let call = CloudCall::List(after.clone());
+                self.cloud.call(call, CloudStep::List(after));
+            }
+            (CloudStep::List(_), CloudAnswer::Page(page)) => {
                 if let Some(lead) = self.lead.as_mut() {
                     lead.learn_list(&page.machines, now);
                 }
                 if page.more {
                     let last = page.machines.last().map(|m| m.id.clone());
-                    self.cloud.call(CloudCall::List(last), CloudStep::List);
+                    let call = CloudCall::List(last.clone());
+                    self.cloud.call(call, CloudStep::List(last));
                 }
             }
             _ => {}
@@ -457,3 +475,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/capacity/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+use crate::testing::{core, lead, up, NOW};
+use rudderreel_wire::cloud::MachinePage;
+
+/// Lets calls out and returns them.
+fn calls(node: &mut Core, at: Now) -> Vec<(CallId, CloudCall)> {
+    node.cloud.pump(at.time, &mut node.out);
+    let call = |output| match output {
+        Output::Cloud(id, call) => Some((id, call)),
+        _ => None,
+    };
+    node.out.drain(..).filter_map(call).collect()
+}
+
+/// When a page of the list was refused, the rest of the list was not read, and the next time it began
+/// anew: a list of eight or twelve pages was never read whole beside a busy cloud.
+#[test]
+fn a_list_of_many_pages_goes_on_after_a_refusal() {
+    for machines in [4_000, 6_000] {
+        let mut node = core();
+        node.lead = Some(lead());
+        node.cloud.next_catalog = NOW.time + Span(3_600_000);
+        let (mut now, mut listed, mut refused) = (NOW, 0, 0);
+        node.cloud_tick(now);
+        for round in 0..200 {
+            now.time = now.time + Span(800);
+            for (id, call) in calls(&mut node, now) {
+                let CloudCall::List(after) = call else {
+                    continue;
+                };
+                if round % 2 == 0 {
+                    refused += 1;
+                    node.cloud_answer(id, CloudAnswer::Refused, now);
+                    continue;
+                }
+                let first = after.map_or(0, |id| id.as_str()[3..].parse().expect("a number"));
+                let last = (first + MACHINES_PER_PAGE).min(machines);
+                let page = MachinePage {
+                    machines: (first + 1..=last).map(listed_machine).collect(),
+                    more: last < machines,
+                };
+                listed = last.max(listed);
+                node.cloud_answer(id, CloudAnswer::Page(page), now);
+            }
+        }
+        let lead = node.lead.as_ref().expect("it leads");
+        assert_eq!((listed, lead.machines.len()), (machines, machines));
+        assert!(refused >= machines / MACHINES_PER_PAGE, "{refused}");
+    }
+}
+
+fn listed_machine(n: usize) -> ListedMachine {
+    ListedMachine {
+        id: format!("vm-{n:06}").as_str().into(),
+        addr: None,
+        machine_type: "m4".into(),
+        zone: "a".into(),
+        spot: false,
+        state: ListedState::Running,
+        age_s: 1.0,
+    }
+}
+
+/// The pages of a large fleet's list take a part of the calls and no more.
+#[test]
+fn a_large_fleet_is_listed_less_often() {
+    let cloud = CloudCalls::new(1.0);
+    assert!(cloud.listing_span(100) <= Span(4_000));
+    assert_eq!(cloud.listing_span(4_000), Span(32_000));
+    let mut lead = lead();
+    for n in 0..10 {
+        up(&mut lead, &format!("vm-{n}"), "a");
+    }
+    assert_eq!(cloud.listing_span(lead.machines.len()), Span(4_000));
+}
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -7,14 +7,46 @@
 use crate::units::{Resources, Span, Time};
 use rudderreel_wire::ids::{MachineId, Zone};
 use rudderreel_wire::worker::Command;
+use std::cell::OnceCell;
 
 /// With so many machines at most, tests compare sums with the slow plain way.
 const PLAIN: usize = 300;
 
+/// What teams may use, added up when it is first asked for. It holds as long as no task is placed and
+/// none is gone: then the limits of many starts are checked against one sum, and the cost of a start
+/// does not grow with the number of jobs.
+#[derive(Default)]
+pub(crate) struct TeamUsage {
+    by_node: OnceCell<Vec<Resources>>,
+}
+
+impl TeamUsage {
+    /// By node of the tree: everything of it and of those below it that may exist.
+    pub(crate) fn of(&self, lead: &Lead) -> &[Resources] {
+        self.by_node.get_or_init(|| {
+            let mut sums = vec![Resources::default(); lead.tree.nodes.len()];
+            for job in lead.jobs.values().filter(|j| !j.places.is_empty()) {
+                let used = job.need.times(job.placed());
+                let leaf = lead.tree.find(&job.spec.team);
+                for node in leaf.into_iter().flat_map(|leaf| lead.tree.chain(leaf)) {
+                    sums[node] += used;
+                }
+            }
+            sums
+        })
+    }
+}
+
 impl Lead {
     /// The single place where a start is decided: every rule is checked against everything that
     /// may exist.
-    pub(crate) fn may_start(&self, machine: &Machine, entry: &Entry, now: Time) -> bool {
+    pub(crate) fn may_start(
+        &self,
+        machine: &Machine,
+        entry: &Entry,
+        usage: &TeamUsage,
+        now: Time,
+    ) -> bool {
         let Some(job) = self.jobs.get(&entry.task.job) else {
             return false;
         };
@@ -40,7 +72,7 @@
             ),
             (free.cpus >= 0 && free.gpus >= 0 && free.memory >= 0, "room"),
             (self.zones_hold(job), "zones"),
-            (self.limit_holds(job), "limit"),
+            (self.limit_holds(job, usage), "limit"),
         ];
         match rules.iter().find(|(holds, _)| !holds) {
             Some((_, rule)) => {
@@ -69,7 +101,7 @@
     }
 
     /// Whether everything of a team that may exist keeps to its limit, planned starts included.
-    pub(crate) fn limit_holds(&self, job: &Job) -> bool {
+    pub(crate) fn limit_holds(&self, job: &Job, usage: &TeamUsage) -> bool {
         let Some(leaf) = self.tree.find(&job.spec.team) else {
             return false;
         };
@@ -78,27 +110,14 @@
             if limit.iter().all(|l| l.is_infinite()) {
                 return true;
             }
-            let used = crate::tree::amounts(&self.used_below(node));
+            let used = usage.of(self)[node];
             // The plain way takes too long for tests of a whole fleet.
-            debug_assert!(
-                self.machines.len() > PLAIN
-                    || self.used_below(node) == self.used_below_by_machine(node)
-            );
+            debug_assert!(self.machines.len() > PLAIN || used == self.used_below_by_machine(node));
+            let used = crate::tree::amounts(&used);
             (0..crate::tree::KINDS).all(|k| used[k] <= limit[k] + 1e-9)
         })
     }
 
-    /// What a team and those below it may use, by its jobs.
-    pub(crate) fn used_below(&self, node: usize) -> Resources {
-        let mut sum = Resources::default();
-        for job in self.jobs.values().filter(|j| !j.places.is_empty()) {
-            if self.is_below(job, node) {
-                sum += job.need.times(job.placed());
-            }
-        }
-        sum
-    }
-
     /// The same, looked up on every machine: the slow plain way, which tests compare with.
     fn used_below_by_machine(&self, node: usize) -> Resources {
         let mut sum = Resources::default();
@@ -119,6 +138,17 @@
     /// The commands for a machine: stops, then starts, and what its worker may forget when they
     /// go out in the answer to a report. Direct calls can be late, so they never say that.
     pub fn commands(&mut self, id: &MachineId, now: Time, direct: bool) -> Vec<Command> {
+        self.commands_within(id, &TeamUsage::default(), now, direct)
+    }
+
+    /// The same for one of several machines, between which nothing else happens.
+    pub(crate) fn commands_within(
+        &mut self,
+        id: &MachineId,
+        usage: &TeamUsage,
+        now: Time,
+        direct: bool,
+    ) -> Vec<Command> {
         let Some(machine) = self.machines.get(id) else {
             return Vec::new();
         };
@@ -143,7 +173,7 @@
             } else if leads
                 && matches!(entry.phase, Phase::Planned | Phase::Sent)
                 && !(direct && entry.phase == Phase::Sent && entry.sent.0 == self.epoch)
-                && self.may_start(machine, entry, now)
+                && self.may_start(machine, entry, usage, now)
             {
                 commands.push(Command::Start { task, attempt });
                 started.push((entry.task.clone(), attempt));
--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -22,8 +22,9 @@
 const CONFIRM_PART: f64 = 0.3;
 /// Commits that confirm at one time; what does not fit waits for the next.
 const BATCHES: usize = 2;
-/// Requests that may wait to be confirmed; one more is refused.
-const MAX_UNCONFIRMED: usize = 2_000;
+/// Requests that may wait to be confirmed at least, however few the state service lets be confirmed
+/// before they are given up. One more is refused.
+const LEAST_UNCONFIRMED: usize = 2_000;
 
 /// Requests that wait for a confirmation.
 #[derive(Default)]
@@ -63,14 +64,22 @@
 impl Core {
     /// Confirms a request soon, with others.
     pub(crate) fn confirm_later(&mut self, waiting: Waiting, now: Now) {
+        let most = self.most_unconfirmed();
         let unconfirmed = &mut self.user_requests.unconfirmed;
-        if unconfirmed.queue.len() >= MAX_UNCONFIRMED {
+        if unconfirmed.queue.len() >= most {
             return self.refuse(waiting.req, "too many questions wait");
         }
         unconfirmed.collecting_since.get_or_insert(now.time);
         unconfirmed.queue.push_back(waiting);
     }
 
+    /// How many requests may wait: as many as can be confirmed before they have waited too long.
+    fn most_unconfirmed(&self) -> usize {
+        let commits_per_s = self.calls.rate() * CONFIRM_PART * BATCHES as f64;
+        let jobs = commits_per_s * self.limits.conditions() as f64 * PATIENCE.as_secs();
+        LEAST_UNCONFIRMED.max(jobs as usize)
+    }
+
     /// Sends confirmations that are due.
     pub(crate) fn confirm(&mut self, now: Now) {
         let unconfirmed = &self.user_requests.unconfirmed;
@@ -258,3 +267,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -3,6 +3,7 @@
 use crate::cancellations::Cancellations;
 use crate::capacity::CloudCalls;
 use crate::election::{Election, Step, Verdict, Won};
+use crate::fleet_limits::FleetLimits;
 use crate::io::{show, CallId, Input, Output, ReqId, StateAnswer, StateCall, Value};
 use crate::job_cache::JobCache;
 use crate::lead::Lead;
@@ -72,6 +73,8 @@
     pub(crate) election: Election,
     /// Limits of the state service that every writer keeps to.
     pub(crate) limits: StoreLimits,
+    /// How many workers the nodes' connections suffice for, if that is known.
+    fleet_limits: Option<FleetLimits>,
     pub(crate) user_requests: UserRequests,
     pub(crate) cancellations: Cancellations,
     pub(crate) lead: Option<Lead>,
@@ -138,6 +141,7 @@
             cloud: CloudCalls::new(settings.params.cloud.rps * 0.9),
             election: Election::new(settings.node.clone(), nodes, rank),
             limits: StoreLimits::of(&settings.params.state),
+            fleet_limits: FleetLimits::of(&settings),
             user_requests: UserRequests::default(),
             cancellations: Cancellations::default(),
             lead: None,
@@ -370,6 +374,7 @@
         if lead.ready && now.time >= self.next_review {
             // Looking through a large fleet takes longer, so it is done less often.
             self.next_review = now.time + Span(PLACEMENTS.0 + lead.machines.len() as u64 / 12);
+            lead.note_beyond_connections(self.fleet_limits);
             lead.find_dark_zones(now.time);
             lead.end_cancelled(now);
             lead.drain(now.time);
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -9,14 +9,12 @@
 use crate::snapshot::{is_bound, within, Snapshot, Spot};
 use crate::tree::{amounts, Amounts};
 use crate::units::{Now, Resources, Span, Time};
-use rudderreel_wire::cloud::{MachineType, Rent};
+use rudderreel_wire::cloud::{MachineType, Rent, MACHINES_PER_RENTAL};
 use rudderreel_wire::ids::{TypeName, Zone};
 use rudderreel_wire::job::Kind;
 use std::collections::BTreeMap;
 
-/// Most machines of one request.
-const MOST: u32 = 50;
-/// Requests that may be open at once.
+/// Requests that may be open at once, or as many as the cloud takes calls a second if that is more.
 const REQUESTS: usize = 5;
 /// No new ones are made while more than so many are open.
 const UNDER_WAY: usize = 1;
@@ -129,11 +127,12 @@
         if self.rentals.open.len() > UNDER_WAY {
             return;
         }
+        let requests = REQUESTS.max(self.cloud_calls_per_s as usize);
         let mut wanted: Vec<(Offer, (bool, u32))> = wanted.into_iter().collect();
         wanted.sort_by_key(|(_, (firm, count))| (!firm, std::cmp::Reverse(*count)));
         for (offer, (_, mut count)) in wanted {
-            while count > 0 && self.rentals.open.len() < REQUESTS {
-                let part = count.min(MOST);
+            while count > 0 && self.rentals.open.len() < requests {
+                let part = count.min(MACHINES_PER_RENTAL);
                 count -= part;
                 let request = self.rentals.name(self.epoch);
                 log::info!("renting {part} {offer:?} as {request}");
@@ -513,3 +512,6 @@
         Some(machine_type.price)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/failure_detection.rs
+++ b/crates/core/src/failure_detection.rs
@@ -26,8 +26,10 @@
 /// what can't wait are asked, too, if they were not heard just now.
 const SUSPICION: Span = Span(3_000);
 const JUST_NOW: Span = Span(1_500);
-/// Probes that may be under way at once.
+/// Probes that may be under way at once, and one more for so many machines: of a large fleet hundreds
+/// may hang at once, and each is asked several times.
 const UNDER_WAY: usize = 64;
+const MACHINES_PER_PROBE: usize = 16;
 /// A zone with at least so many machines is taken for cut off when all of them have missed a report;
 /// one with many already when none was heard for so long, or for so many times the usual pause
 /// between their reports.
@@ -241,7 +243,8 @@
             .filter(|m| callable(m) && doubtful(m))
             .collect();
         found.sort_by_key(|m| !m.holds_firm());
-        found.truncate(UNDER_WAY.saturating_sub(open));
+        let under_way = UNDER_WAY.max(self.machines.len() / MACHINES_PER_PROBE);
+        found.truncate(under_way.saturating_sub(open));
         let mut found: Vec<MachineId> = found.into_iter().map(|m| m.id.clone()).collect();
         if !found.is_empty() && now - self.last_reaction > CONTROL {
             let sure = (self.machines.values())
--- a/crates/core/src/failure_detection/tests.rs
+++ b/crates/core/src/failure_detection/tests.rs
@@ -148,3 +148,23 @@
     assert_eq!(asked.first(), Some(&replicas));
     assert!(!asked.contains(&"vm-a2".into()));
 }
+
+/// At most 64 machines were asked at a time, so of several hundred that hang the last were asked many
+/// seconds after the first.
+#[test]
+fn a_large_fleet_is_probed_by_its_size() {
+    for (machines, least) in [(30, 20), (1_000, 64), (4_000, 250), (6_000, 375)] {
+        let mut lead = lead();
+        for n in 0..machines {
+            up(&mut lead, &format!("vm-{n}"), "a");
+        }
+        lead.last_reaction = NOW.time + Span(3_000);
+        let asked = lead.overdue(NOW.time + Span(3_000));
+        assert!(asked.len() >= least, "{machines} machines: {}", asked.len());
+        assert!(
+            asked.len() <= least.max(64),
+            "{machines} machines: {}",
+            asked.len()
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet_limits/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+use crate::testing::settings;
+use rudderreel_wire::settings::ProcessLimits;
+
+fn with_sockets(fd_limit: u32) -> Option<FleetLimits> {
+    let mut settings = settings();
+    settings.params.limits = Some(ProcessLimits {
+        memory_mb: 258.0,
+        fd_limit,
+    });
+    FleetLimits::of(&settings)
+}
+
+/// The limit is that of the platform, whatever it is: more sockets carry more machines.
+#[test]
+fn the_fleet_that_is_carried_follows_from_the_sockets() {
+    assert_eq!(with_sockets(0), None, "no limit is named");
+    let limits = with_sockets(8_000).expect("limits");
+    assert_eq!(limits.workers_of_one_node, 4_500);
+    let nodes = settings().params.nodes as usize;
+    assert_eq!(limits.workers_of_all_nodes, 4_500 * nodes);
+    assert_eq!(limits.beyond(4_500 * nodes), 0);
+    assert_eq!(limits.beyond(4_500 * nodes + 7), 7);
+}
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -60,6 +60,10 @@
     pub tree: TeamTree,
     /// Machine types.
     pub catalog: Catalog,
+    /// Machines that the nodes' connections don't suffice for.
+    pub beyond_connections: usize,
+    /// Calls a second that the cloud takes.
+    pub cloud_calls_per_s: f64,
     /// How long a worker goes on without an answer.
     pub lease: Span,
     /// Interval of workers' reports.
@@ -171,6 +175,8 @@
             jobs: BTreeMap::new(),
             tree,
             catalog: Catalog::default(),
+            beyond_connections: 0,
+            cloud_calls_per_s: settings.params.cloud.rps,
             lease: Span::secs(workers.lease_s),
             report: Span::secs(workers.report_s),
             cancel: Span::secs(workers.cancel_s),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod election;
 mod failure_detection;
 mod fair_share;
+mod fleet_limits;
 mod io;
 mod job;
 mod job_cache;
@@ -47,6 +48,7 @@
 mod cycle;
 pub use crate::core::Core;
 pub use admin::AdminRequest;
+pub use fleet_limits::{ConnectionLimits, FleetLimits};
 pub use io::{
     CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
     UserRequest, Value,
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -6,7 +6,11 @@
 use crate::lead::Lead;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{Epoch, JobId, NodeName, Zone};
-use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply};
+use rudderreel_wire::peer::{Count, Heartbeat, HeartbeatReply, MAX_MESSAGE_BYTES};
+
+/// Jobs whose tasks a heartbeat counts, at most: an entry has fewer than 40 bytes, and the whole has to
+/// fit into a message. They are for display.
+const MOST_COUNTS: usize = MAX_MESSAGE_BYTES / 2 / 40;
 
 impl Core {
     pub(crate) fn beat(&mut self, now: Now) {
@@ -15,11 +19,15 @@
             // They are for display, and many: not with every heartbeat.
             Some(lead) if self.beats % 4 == 1 => {
                 let running = lead.running();
+                // Of what is not named nothing is done and nothing runs.
                 let counts: Vec<Count> = (lead.jobs.iter())
-                    .map(|(id, job)| Count {
+                    .map(|(id, job)| (id, job.done.len(), running.get(id).copied().unwrap_or(0)))
+                    .filter(|(_, done, running)| done + running > 0)
+                    .take(MOST_COUNTS)
+                    .map(|(id, done, running)| Count {
                         job: id.to_string(),
-                        done: job.done.len(),
-                        running: running.get(id).copied().unwrap_or(0),
+                        done,
+                        running,
                     })
                     .collect();
                 Some(counts)
@@ -188,3 +196,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/recovery/tests.rs
+++ b/crates/core/src/recovery/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::commands::TeamUsage;
 use crate::testing::{job, lead, running, NOW};
 use crate::units::Resources;
 use rudderreel_wire::ids::{Attempt, MachineId, Seq};
@@ -104,7 +105,7 @@
     after.page_back(PageId(1), record, NOW);
     after.ready = true;
     let team = after.tree.find(&gang.spec.team).expect("a team");
-    assert_eq!(after.used_below(team), gang.need.times(2));
+    assert_eq!(TeamUsage::default().of(&after)[team], gang.need.times(2));
     // Nothing of it is started again, and it is forgotten once its tasks are gone.
     assert_eq!(after.waiting(NOW).len(), 0);
     after.empty_machine(&machine, NOW);
--- a/crates/core/src/report_forwarding.rs
+++ b/crates/core/src/report_forwarding.rs
@@ -14,23 +14,32 @@
 use crate::lead::Lead;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{Epoch, MachineId, NodeName, Seq, Session};
-use rudderreel_wire::peer::{PassedAnswer, PassedReport, PassedTasks, Reports, ReportsReply};
+use rudderreel_wire::peer::{
+    PassedAnswer, PassedReport, PassedTasks, Reports, ReportsReply, MAX_MESSAGE_BYTES,
+};
 use rudderreel_wire::worker::{Report, ReportElsewhere, ReportReply, TaskReport};
 use std::collections::BTreeMap;
 
 /// How long reports are collected before they are passed on.
 const GATHER: Span = Span(80);
-/// Batches that may be on their way at once, and reports that may wait: some seconds' worth. Workers
-/// give up after 4 s, so however large the fleet is, more waiting would only be answered too late.
+/// Batches that may be on their way at once.
 const OPEN: usize = 3;
-const MOST: usize = 1_000;
-/// Tasks that the reports of a batch list in all, roughly: a peer takes 1 MiB, and a task is some 80
-/// bytes of it.
-const BATCH_TASKS: usize = 4_000;
+/// A worker gives up after 4 s. While the oldest report has waited for so long, another would only be
+/// answered too late, and is refused at once. How many wait follows from how fast they are passed on, and
+/// from the connections that workers may have: each has one report under way.
+const LONGEST_WAIT: Span = Span(2_000);
+/// Bytes that the reports of a batch have, roughly, and how many there are: their answers have to fit
+/// into a message, too.
+const BATCH_BYTES: usize = MAX_MESSAGE_BYTES / 2;
+const BATCH_REPORTS: usize = 1_000;
+/// Bytes of a report that is passed on, without its list.
+const REPORT_BYTES: usize = 80;
 /// A worker that has missed a report, with so much to spare, reports elsewhere; but not before the
 /// least.
 const LEFT_SPARE: Span = Span(2_000);
 const LEFT_LEAST: Span = Span(8_000);
+/// How often workers that have left are looked for.
+const PRUNE: Span = Span(200);
 /// A node with workers that none of them has reached for so long is perhaps cut off from them; with
 /// few workers, for so many times the usual pause between their reports.
 const UNREACHED: Span = Span(1_500);
@@ -50,6 +59,8 @@
     req: ReqId,
     report: Report,
     whole: bool,
+    /// When it came.
+    since: Time,
 }
 
 /// What a follower remembers of reports.
@@ -63,19 +74,34 @@
     taken: BTreeMap<MachineId, (Session, Seq, Vec<TaskReport>)>,
     /// Whose memory that is.
     leader: Option<(NodeName, Epoch)>,
-    /// When each worker last reported here.
+    /// When each worker last reported here, and when those that have left were last looked for.
     workers: BTreeMap<MachineId, Time>,
+    pruned: Time,
     /// Workers sent to each peer since it last said how many it has.
     pub sent: BTreeMap<NodeName, u32>,
     /// When a worker was last sent to a peer that none reached.
     trials: BTreeMap<NodeName, Time>,
 }
 
+/// Bytes of a report in a message, roughly.
+fn bytes_of(report: &PassedReport) -> usize {
+    let list = match &report.tasks {
+        PassedTasks::AsIn(_) => 0,
+        PassedTasks::Whole(text) => text.len(),
+    };
+    REPORT_BYTES + report.machine.len() + list
+}
+
 impl ReportForwarding {
     /// How many workers report here.
     pub fn workers(&mut self, now: Time, report: Span) -> u32 {
-        let left = LEFT_LEAST.max(Span(report.0 * 5 / 4) + LEFT_SPARE);
-        self.workers.retain(|_, heard| now - *heard < left);
+        // Asked for with every report, so looking through all of them each time would cost by the
+        // square of the fleet.
+        if now - self.pruned >= PRUNE {
+            let left = LEFT_LEAST.max(Span(report.0 * 5 / 4) + LEFT_SPARE);
+            self.workers.retain(|_, heard| now - *heard < left);
+            self.pruned = now;
+        }
         self.workers.len() as u32
     }
 
@@ -88,6 +114,21 @@
         reached || self.trials.get(name).is_none_or(|t| now - *t > TRIAL)
     }
 
+    /// The reports that wait longest, as many as a message holds; one at least if any wait.
+    fn next_batch(&self) -> Vec<PassedReport> {
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for held in self.waiting.iter().take(BATCH_REPORTS) {
+            let report = self.shortened(held);
+            bytes += bytes_of(&report);
+            if bytes > BATCH_BYTES && !batch.is_empty() {
+                break;
+            }
+            batch.push(report);
+        }
+        batch
+    }
+
     fn shortened(&self, held: &Held) -> PassedReport {
         let report = &held.report;
         let as_in = (self.taken.get(&report.machine))
@@ -122,7 +163,8 @@
             self.report_to(req, Some(peer));
             return None;
         }
-        if self.forwarding.waiting.len() >= MOST {
+        let oldest = self.forwarding.waiting.first();
+        if oldest.is_some_and(|held| now.time > held.since + LONGEST_WAIT) {
             self.refuse(req, "too many reports wait");
             return None;
         }
@@ -139,6 +181,7 @@
             req,
             report,
             whole: false,
+            since: now.time,
         });
         None
     }
@@ -237,28 +280,13 @@
         if !due || self.forwarding.open.len() >= OPEN {
             return;
         }
-        let mut tasks = 0;
-        let fits = |held: &&Held| {
-            tasks += 2 + held.report.tasks.len();
-            tasks <= BATCH_TASKS
-        };
-        let n = self
-            .forwarding
-            .waiting
-            .iter()
-            .take_while(fits)
-            .count()
-            .max(1);
-        let rest = self
-            .forwarding
-            .waiting
-            .split_off(n.min(self.forwarding.waiting.len()));
+        let reports = self.forwarding.next_batch();
+        let rest = self.forwarding.waiting.split_off(reports.len());
         let held = std::mem::replace(&mut self.forwarding.waiting, rest);
         self.forwarding.since = (!self.forwarding.waiting.is_empty()).then_some(now.time);
         let Some(leader) = self.near_leader(now.time) else {
             return self.not_passed(held);
         };
-        let reports = held.iter().map(|h| self.forwarding.shortened(h)).collect();
         self.forwarding.next += 1;
         let call = CallId(self.forwarding.next);
         self.forwarding.open.insert(call, held);
--- a/crates/core/src/report_forwarding/tests.rs
+++ b/crates/core/src/report_forwarding/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::testing::NOW;
 
 /// A leader that no worker reached looked idle, and the others sent it all of theirs.
 #[test]
@@ -25,3 +26,99 @@
     // One with few workers is not always heard of.
     assert!(forwarding.may_send(&name, &peer(4, 7_000), report, soon));
 }
+
+fn report(n: usize, tasks: usize) -> Report {
+    let machine = MachineId::from(format!("vm-{n:06}").as_str());
+    let job: rudderreel_wire::ids::JobId = format!("wk-{n:06}").parse().expect("an id");
+    let task = rudderreel_wire::ids::Attempt(1);
+    let mut report = crate::testing::running(&machine, Epoch(1), Seq(1), &job.task(0), task);
+    report.tasks = (0..tasks as u32)
+        .map(|index| TaskReport {
+            task: job.task(index),
+            ..report.tasks[0].clone()
+        })
+        .collect();
+    report
+}
+
+/// A follower that hears a leader of a large fleet.
+fn follower() -> Core {
+    let mut core = crate::testing::core();
+    core.leader_machines = 6_000;
+    let leader = PeerView {
+        heard: NOW.time + LONGEST_WAIT,
+        leads: true,
+        ..PeerView::default()
+    };
+    core.peers.insert("n1".into(), leader);
+    core
+}
+
+/// When four of five nodes are gone, a fleet of 4,000 or 6,000 comes to one node at once. It took a
+/// thousand reports and refused the others, whose workers then sought another node in vain. Now all are
+/// passed on, in messages that the leader takes, and only what would be answered too late is refused.
+#[test]
+fn every_report_of_a_fleet_that_comes_at_once_is_passed_on() {
+    for machines in [4_000, 6_000] {
+        let mut core = follower();
+        for n in 0..machines {
+            core.pass_on(ReqId(n as u64), report(n, 4), NOW);
+        }
+        assert_eq!(core.forwarding.waiting.len(), machines);
+        let late = Now {
+            time: NOW.time + LONGEST_WAIT + Span(1),
+            ..NOW
+        };
+        core.pass_on(ReqId(machines as u64), report(machines, 4), late);
+        let refused = core.out.drain(..).count();
+        assert_eq!(refused, 1, "what would be answered too late is refused");
+        let (mut passed, mut now) = (0, NOW);
+        while !core.forwarding.waiting.is_empty() {
+            core.forwarding.open.clear();
+            now.time = now.time + GATHER;
+            core.forwarding_tick(now);
+            for output in core.out.drain(..) {
+                let Output::PassReports(_, _, reports) = output else {
+                    panic!("{output:?}");
+                };
+                passed += reports.reports.len();
+                assert!(bitcode::encode(&reports).len() < MAX_MESSAGE_BYTES);
+            }
+        }
+        assert_eq!(passed, machines);
+    }
+}
+
+/// The number of tasks bounded a batch, and not what their names take.
+#[test]
+fn a_batch_of_long_reports_fits_into_a_message() {
+    let mut core = follower();
+    for n in 0..600 {
+        let mut long = report(n, 10);
+        long.addr = "x".repeat(50_000);
+        core.pass_on(ReqId(n as u64), long, NOW);
+    }
+    let mut batches = 0;
+    while !core.forwarding.waiting.is_empty() {
+        let batch = core.forwarding.next_batch();
+        let (count, reports) = (batch.len(), Reports { reports: batch });
+        assert!(bitcode::encode(&reports).len() < MAX_MESSAGE_BYTES);
+        core.forwarding.waiting.drain(..count);
+        batches += 1;
+    }
+    assert!(batches > 50, "{batches}");
+}
+
+/// Each report looked through all workers of the node: at 4,000 machines that cost more than the rest.
+#[test]
+fn workers_that_have_left_are_not_counted() {
+    let mut forwarding = ReportForwarding::default();
+    let interval = Span(6_000);
+    for n in 0..4_000 {
+        let machine = MachineId::from(format!("vm-{n}").as_str());
+        forwarding.workers.insert(machine, NOW.time);
+    }
+    assert_eq!(forwarding.workers(NOW.time, interval), 4_000);
+    let left = NOW.time + LEFT_LEAST + Span(interval.0 * 5 / 4) + LEFT_SPARE;
+    assert_eq!(forwarding.workers(left, interval), 0);
+}
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -6,13 +6,18 @@
 
 use crate::job::Job;
 use crate::lead::Lead;
-use crate::placement_tracking::Machine;
+use crate::placement_tracking::{Entry, Machine};
 use crate::tree::{amounts, Amounts, KINDS};
 use crate::units::{Now, Resources, Span, Time};
 use rudderreel_wire::ids::{Attempt, Image, JobId, MachineId, TaskId, TypeName, Zone};
 use rudderreel_wire::job::{JobSpec, Kind};
 use std::collections::{BTreeSet, HashMap};
 
+/// What has run longer than its owner thought runs on for this part of the time it has run.
+const RUNS_ON: f64 = 0.3;
+/// Whatever runs takes so many seconds more at least.
+const LEAST_LEFT_S: f64 = 2.0;
+
 /// A machine that work can be placed on.
 #[derive(Clone, Debug)]
 pub struct Spot {
@@ -42,6 +47,10 @@
     pub evictable: Resources,
     /// Free room that is held back from evictable work.
     pub held: Resources,
+    /// Room of tasks that end by themselves.
+    pub ending: Resources,
+    /// In how many seconds the last of them will probably have ended.
+    pub ended_in_s: f64,
     /// It is kept for a gang for which room is gathered, which will have enough in so many seconds.
     pub kept_for: Option<(JobId, f64)>,
 }
@@ -97,6 +106,14 @@
     spec.spread || spec.one_zone
 }
 
+/// In how many seconds a task that ends by itself will probably have ended.
+fn seconds_left(entry: &Entry, spec: &JobSpec, now: Time) -> f64 {
+    let ran_s = entry.running.map_or(0.0, |since| (now - since).as_secs());
+    // What has run longer than its owner thought will run for a while yet.
+    let longer_s = ran_s * RUNS_ON;
+    (spec.estimate_s - ran_s).max(longer_s).max(LEAST_LEFT_S)
+}
+
 impl Snapshot {
     /// Takes the picture.
     pub fn take(lead: &Lead, now: Now) -> Self {
@@ -203,6 +220,8 @@
             replicas: 0,
             evictable: Resources::default(),
             held: Resources::default(),
+            ending: Resources::default(),
+            ended_in_s: 0.0,
             kept_for: None,
         };
         for entry in machine.entries.iter().filter(|e| e.holds_room()) {
@@ -215,6 +234,11 @@
             }
             if spec.kind == Kind::Service {
                 spot.shift_service(&spec.id, 1);
+            } else {
+                spot.ending += entry.need;
+                spot.ended_in_s = spot
+                    .ended_in_s
+                    .max(seconds_left(entry, spec, self.now.time));
             }
             let active = lead.jobs.get(&spec.id).is_some_and(|j| j.is_active());
             if !crate::job::is_firm(spec) && entry.stop.is_none() && active {
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -53,9 +53,15 @@
 rps = 5.0
 list_lag_s = 3.0
 "#;
+
+/// The settings of a node that is alone.
+pub fn settings() -> Settings {
+    Settings::parse(SETTINGS).expect("settings")
+}
+
 /// A node that is alone.
 pub fn core() -> Core {
-    Core::new(Settings::parse(SETTINGS).expect("settings"))
+    Core::new(settings())
 }
 
 /// A leader with two teams, one machine type of 4 CPUs in two zones, and nothing else.
--- a/crates/core/src/user_requests.rs
+++ b/crates/core/src/user_requests.rs
@@ -51,8 +51,8 @@
 const MAX_TRIES: u32 = 4;
 /// When to come back after a 503.
 const RETRY_S: u32 = 1;
-/// Requests that may be open at once.
-const MAX_OPEN: usize = 400;
+/// Requests that may be open at once at least: more if the state service takes more in their time.
+const LEAST_OPEN: usize = 400;
 
 /// Users' requests that are being served.
 #[derive(Default)]
@@ -72,6 +72,17 @@
 }
 
 impl Waiting {
+    /// A user's own request that has just come.
+    pub(crate) fn new(req: ReqId, request: UserRequest, since: Time) -> Self {
+        Self {
+            req,
+            request,
+            since,
+            from_peer: false,
+            tries: 0,
+        }
+    }
+
     /// The request.
     pub(crate) fn req(&self) -> ReqId {
         self.req
@@ -90,13 +101,11 @@
     /// A user's request, from the user or from a peer.
     pub(crate) fn user(&mut self, req: ReqId, request: UserRequest, from_peer: bool, now: Now) {
         let waiting = Waiting {
-            req,
-            request,
-            since: now.time,
             from_peer,
-            tries: 0,
+            ..Waiting::new(req, request, now.time)
         };
-        if self.user_requests.open >= MAX_OPEN || self.calls.is_behind() {
+        let most = LEAST_OPEN.max((self.calls.rate() * PATIENCE.as_secs()) as usize);
+        if self.user_requests.open >= most || self.calls.is_behind() {
             return self.refuse(waiting.req, "too many requests are open");
         }
         if self.is_final(waiting.job()) {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -1,5 +1,6 @@
 //! Workers' reports, as a node answers them, and calls to workers.
 
+use crate::commands::TeamUsage;
 use crate::core::Core;
 use crate::io::{json, DirectOutcome, Output, ReqId};
 use crate::units::{Now, Span, Time};
@@ -64,13 +65,15 @@
             .collect();
         order.sort_by_key(|(urgent, _)| !urgent);
         let order: Vec<MachineId> = order.into_iter().map(|(_, id)| id.clone()).collect();
+        // Sending a start places nothing and frees nothing.
+        let usage = TeamUsage::default();
         for id in order {
-            self.push_direct(&id, now);
+            self.push_direct(&id, &usage, now);
         }
     }
 
     /// Sends waiting commands to a worker directly.
-    pub(crate) fn push_direct(&mut self, id: &MachineId, now: Now) {
+    pub(crate) fn push_direct(&mut self, id: &MachineId, usage: &TeamUsage, now: Now) {
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
@@ -84,7 +87,7 @@
         if !lead.wants_direct(machine, now.time) || !lead.may_call(now.time) {
             return;
         }
-        let commands = lead.commands(id, now.time, true);
+        let commands = lead.commands_within(id, usage, now.time, true);
         if commands.is_empty() {
             return;
         }
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -2,6 +2,7 @@
 
 mod added;
 mod answers;
+mod fleet;
 mod gap;
 mod meetings;
 mod pipelines;
--- a/crates/core/tests/sim/pipelines.rs
+++ b/crates/core/tests/sim/pipelines.rs
@@ -14,6 +14,7 @@
     write_rps: 20,
     value_kb: 2,
     operations: 4,
+    page: 10,
 };
 
 pub fn plan(nodes: usize) -> Plan {
--- a/crates/core/tests/sim/stores.rs
+++ b/crates/core/tests/sim/stores.rs
@@ -18,6 +18,8 @@
     pub value_kb: usize,
     /// Changes of a transaction; four times as many conditions.
     pub operations: usize,
+    /// Items of a page.
+    pub page: usize,
 }
 
 /// What it takes at first.
@@ -26,8 +28,15 @@
     write_rps: 50,
     value_kb: 16,
     operations: 8,
+    // Small pages, so that paging is met.
+    page: 10,
 };
 
+/// Bytes that the items of a page hold at most, by the protocol.
+const PAGE_BYTES: usize = 512 * 1024;
+/// Machines on a page of the cloud's list at most, by the protocol.
+const LISTED: usize = 500;
+
 /// A limit of so many a second.
 #[derive(Default)]
 struct Bucket {
@@ -82,6 +91,25 @@
 }
 
 impl Store {
+    /// A state service with limits.
+    pub fn of(limits: Limits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// How many of some items a page holds: of their number and of their size.
+    fn page_of(&self, items: &[Item<Value>]) -> usize {
+        let mut bytes = 0;
+        let fits = |item: &&Item<Value>| {
+            bytes += serde_json::to_vec(&item.value).expect("JSON").len();
+            bytes <= PAGE_BYTES
+        };
+        let first = items.iter().take(self.limits.page);
+        first.take_while(fits).count().max(1).min(items.len())
+    }
+
     /// Whether a transaction keeps to the limits of sizes.
     fn takes(&self, transaction: &Transaction<Value>) -> bool {
         let small = |change: &Change<Value>| match change {
@@ -106,6 +134,14 @@
         self.down = down;
     }
 
+    /// How many keys begin with a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.keys
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
+    }
+
     /// A number that a key holds.
     pub fn number(&self, key: &str, field: &str) -> u64 {
         let value = self.keys.get(key).map(|item| &item.value[field]);
@@ -171,8 +207,11 @@
         let shared = |event: &Event<Value>| match event {
             Event::Put { key, .. } | Event::Delete { key, .. } => key.starts_with("pub/"),
         };
-        let events: Vec<Event<Value>> = (self.log.iter())
-            .filter(|(revision, event)| *revision > after.0 && shared(event))
+        let first = self
+            .log
+            .partition_point(|(revision, _)| *revision <= after.0);
+        let events: Vec<Event<Value>> = (self.log[first..].iter())
+            .filter(|(_, event)| shared(event))
             .map(|(_, event)| event.clone())
             .collect();
         (!events.is_empty()).then_some((Version(self.revision), events))
@@ -207,11 +246,12 @@
                 let later = |key: &String| after.as_ref().is_none_or(|a| key > a);
                 let mut items: Vec<Item<Value>> = (self.keys.values())
                     .filter(|i| i.key.starts_with(prefix) && later(&i.key))
+                    .take(self.limits.page + 1)
                     .cloned()
                     .collect();
-                // Small pages, so that paging is met.
-                let more = items.len() > 10;
-                items.truncate(10);
+                let page = self.page_of(&items);
+                let more = items.len() > page;
+                items.truncate(page);
                 let revision = Version(self.revision);
                 StateAnswer::Page(Page {
                     items,
@@ -293,21 +333,26 @@
 pub struct Cloud {
     asked: BTreeMap<String, Vec<MachineId>>,
     machines: BTreeMap<MachineId, (Rent, u64)>,
-    up: BTreeSet<MachineId>,
+    /// Those that are not up yet.
+    booting: BTreeSet<MachineId>,
+    /// Those that were returned since this was last asked.
+    gone: Vec<MachineId>,
     next: u32,
     most: usize,
     /// How long machines take to come up, at least and at most.
     boot_ms: (u64, u64),
+    zones: &'static [&'static str],
     /// Its interface is down.
     pub down: bool,
 }
 
 impl Cloud {
     /// A cloud with so many machines.
-    pub fn of(most: usize, boot_ms: (u64, u64)) -> Self {
+    pub fn of(most: usize, boot_ms: (u64, u64), zones: &'static [&'static str]) -> Self {
         Self {
             most,
             boot_ms,
+            zones,
             ..Self::default()
         }
     }
@@ -324,12 +369,19 @@
 
     /// Machines that have come up since the last time.
     pub fn booted(&mut self, now: u64) -> Vec<(MachineId, Rent)> {
-        let new: Vec<(MachineId, Rent)> = (self.machines.iter())
-            .filter(|(id, (_, at))| now >= at + self.boot(id) && !self.up.contains(*id))
-            .map(|(id, (rent, _))| (id.clone(), rent.clone()))
-            .collect();
-        self.up.extend(new.iter().map(|(id, _)| id.clone()));
-        new
+        let up = |id: &&MachineId| now >= self.machines[*id].1 + self.boot(id);
+        let new: Vec<MachineId> = self.booting.iter().filter(up).cloned().collect();
+        let rented = |id: MachineId| {
+            self.booting.remove(&id);
+            let rent = self.machines[&id].0.clone();
+            (id, rent)
+        };
+        new.into_iter().map(rented).collect()
+    }
+
+    /// Machines that were returned since this was last asked.
+    pub fn gone(&mut self) -> Vec<MachineId> {
+        std::mem::take(&mut self.gone)
     }
 
     pub fn call(&mut self, call: &CloudCall, now: u64) -> CloudAnswer {
@@ -348,7 +400,7 @@
                     price: 1.0,
                     spot_price: Some(0.3),
                     boot_s: 4.0,
-                    zones: vec!["a".into(), "b".into()],
+                    zones: self.zones.iter().map(|zone| (*zone).into()).collect(),
                 }],
             }),
             CloudCall::Rent(rent) => {
@@ -370,11 +422,13 @@
             CloudCall::Return(names) => {
                 for id in &names.machines {
                     self.machines.remove(id);
+                    self.booting.remove(id);
+                    self.gone.push(id.clone());
                 }
                 CloudAnswer::Returned
             }
             CloudCall::List(after) => {
-                let machines = (self.machines.iter())
+                let mut machines: Vec<ListedMachine> = (self.machines.iter())
                     .filter(|(id, (_, at))| {
                         now >= at + 3_000 && after.as_ref().is_none_or(|a| *id > a)
                     })
@@ -387,11 +441,11 @@
                         state: ListedState::Running,
                         age_s: (now - at) as f64 / 1000.0,
                     })
+                    .take(LISTED + 1)
                     .collect();
-                CloudAnswer::Page(MachinePage {
-                    machines,
-                    more: false,
-                })
+                let more = machines.len() > LISTED;
+                machines.truncate(LISTED);
+                CloudAnswer::Page(MachinePage { machines, more })
             }
         }
     }
@@ -400,6 +454,7 @@
         self.next += 1;
         let id = MachineId::from(format!("vm-{:06}", self.next).as_str());
         self.machines.insert(id.clone(), (rent.clone(), now));
+        self.booting.insert(id.clone());
         id
     }
 }
--- a/crates/core/tests/sim/worker.rs
+++ b/crates/core/tests/sim/worker.rs
@@ -36,6 +36,7 @@
 }
 
 pub struct Worker {
+    gang_wait_ms: u64,
     id: MachineId,
     rent: Rent,
     pub session: Session,
@@ -56,12 +57,13 @@
 }
 
 const FETCH_MS: u64 = 500;
-const GANG_WAIT_MS: u64 = 10_000;
 const GANG_PEER_MS: u64 = 2_000;
 
 impl Worker {
-    pub fn new(id: MachineId, rent: Rent, now: u64) -> Self {
+    /// A worker whose gang tasks wait so long for the others.
+    pub fn new(id: MachineId, rent: Rent, gang_wait_ms: u64, now: u64) -> Self {
         Self {
+            gang_wait_ms,
             id,
             rent,
             session: Session(1),
@@ -125,7 +127,9 @@
     }
 
     /// Lets tasks go on.
-    pub fn work(&mut self, now: u64, results: &mut BTreeMap<JobId, BTreeSet<u32>>) {
+    /// Lets its tasks get on; returns whether any has completed.
+    pub fn work(&mut self, now: u64, results: &mut BTreeMap<JobId, BTreeSet<u32>>) -> bool {
+        let mut completed = false;
         for task in self.tasks.values_mut() {
             if task.state == TaskState::Fetching && now > task.since + FETCH_MS {
                 task.state = match task.gang {
@@ -133,7 +137,7 @@
                     None => TaskState::Running,
                 };
                 task.since = now;
-            } else if task.state == TaskState::Waiting && now > task.since + GANG_WAIT_MS {
+            } else if task.state == TaskState::Waiting && now > task.since + self.gang_wait_ms {
                 task.exit(Cause::Alone);
             } else if task.broken.is_some_and(|since| now > since + GANG_PEER_MS) {
                 if task.state == TaskState::Running {
@@ -144,6 +148,7 @@
                 && now > task.since + task.run_ms
             {
                 task.exit(Cause::Done);
+                completed = true;
                 let done = results.entry(task.task.job.clone()).or_default();
                 // A gang completes together: if one task is done, so are all.
                 match task.gang {
@@ -152,6 +157,7 @@
                 }
             }
         }
+        completed
     }
 
     pub fn obey(&mut self, command: &Command, jobs: &BTreeMap<JobId, Told>, now: u64) {
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -2,6 +2,7 @@
 //! on a network that delays, loses and reorders, with nodes that crash and clocks that drift. The
 //! rules of the protocol are checked as it goes.
 
+mod costs;
 mod pipelines;
 mod rules;
 mod troubles;
@@ -166,6 +167,21 @@
     pub upgrade: bool,
     /// Some nodes that end come back with the version in production, and are upgraded later.
     pub comes_back_old: bool,
+    /// Seconds that the tasks of a cancelled job may remain.
+    pub cancel_s: u64,
+    /// Seconds that a gang's task waits for the others.
+    pub gang_wait_s: u64,
+    /// What the state service takes.
+    pub store: Limits,
+    /// Calls a second that the cloud takes.
+    pub cloud_rps: f64,
+    /// Zones that machines can be rented in; nodes are in the first two.
+    pub zone_names: &'static [&'static str],
+    /// Milliseconds that the first task of a job runs, and each next one longer; the usual ones if none are
+    /// named.
+    pub run_ms: Option<(u64, u64)>,
+    /// Processor time of steps and bytes of messages are measured.
+    pub measures: bool,
 }
 
 impl Default for Plan {
@@ -194,6 +210,13 @@
             announced: true,
             upgrade: false,
             comes_back_old: false,
+            cancel_s: 20,
+            gang_wait_s: 10,
+            store: LIMITS,
+            cloud_rps: 5.0,
+            zone_names: &["a", "b"],
+            run_ms: None,
+            measures: false,
         }
     }
 }
@@ -249,11 +272,17 @@
     pub broken: BTreeSet<&'static str>,
     /// Whether all nodes have had the version under test: some may have come back old since.
     upgraded: bool,
+    /// What steps and messages cost, if that is measured.
+    pub costs: costs::Costs,
 }
 
-/// From more machines on, rules are checked every 50 ms only.
+/// From more machines on, rules are checked now and then only.
 const FLEET: usize = 500;
-const CANCEL_MS: u64 = 20_000;
+/// From more machines on, less often yet.
+const LARGE_FLEET: usize = 2_000;
+/// How often, in milliseconds.
+const FLEET_CHECKS: u64 = 50;
+const LARGE_FLEET_CHECKS: u64 = 200;
 /// A rolling upgrade begins then, and takes the next node so often.
 const UPGRADE_FROM_MS: u64 = 12_000;
 const UPGRADE_EVERY_MS: u64 = 5_000;
@@ -269,11 +298,9 @@
 
 fn settings(me: usize, plan: &Plan) -> Settings {
     let (nodes, lease, report) = (plan.nodes, plan.lease_s, plan.report_s);
-    let (red, blue) = if plan.crowd || plan.large {
-        (4000, 4000)
-    } else {
-        plan.limits
-    };
+    let (red, blue) = plan.team_limits();
+    let (cancel, gang_wait, cloud_rps) = (plan.cancel_s, plan.gang_wait_s, plan.cloud_rps);
+    let zones = serde_json::to_string(plan.zone_names).expect("JSON");
     let mut text = format!(
         "node = \"n{me}\"\ndomain = \"z{me}\"\nfront = \"10.0.0.{me}:1\"\npeer_bind = \"10.0.0.{me}:2\"\n"
     );
@@ -284,12 +311,12 @@
     }
     text += &format!(
         "[outside]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n[params]\nnodes = {nodes}\n\
-        zones = [\"a\", \"b\"]\n[[params.teams]]\nname = \"red\"\ncpus = 6.0\ncpus_max = {red}.0\n\
+        zones = {zones}\n[[params.teams]]\nname = \"red\"\ncpus = 6.0\ncpus_max = {red}.0\n\
         [[params.teams]]\nname = \"blue\"\ncpus = 6.0\ncpus_max = {blue}.0\n\
-        [params.workers]\nreport_s = {report}\nlease_s = {lease}.0\ngang_wait_s = 10.0\ngang_peer_s = 2.0\n\
-        cancel_s = 20.0\n[params.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n[params.state]\n"
+        [params.workers]\nreport_s = {report}\nlease_s = {lease}.0\ngang_wait_s = {gang_wait}.0\ngang_peer_s = 2.0\n\
+        cancel_s = {cancel}.0\n[params.cloud]\nrps = {cloud_rps:.1}\nlist_lag_s = 3.0\n[params.state]\n"
     );
-    text += &limits_as_toml(&LIMITS);
+    text += &limits_as_toml(&plan.store);
     if let Some((_, lower)) = plan.lower_limits.filter(|_| plan.announced) {
         text += "[params.state.next]\n";
         text += &limits_as_toml(&lower);
@@ -304,6 +331,22 @@
     )
 }
 
+impl Plan {
+    /// CPUs that the two teams may use.
+    fn team_limits(&self) -> (u32, u32) {
+        if self.crowd || self.large {
+            let ample = (2 * self.machines as u32).max(4_000);
+            (ample, ample)
+        } else {
+            self.limits
+        }
+    }
+
+    fn cancel_ms(&self) -> u64 {
+        self.cancel_s * 1_000
+    }
+}
+
 impl World {
     pub fn new(seed: u64) -> Self {
         Self::of(seed, Plan::default())
@@ -332,8 +375,8 @@
             rejected: BTreeMap::new(),
             rng,
             settings,
-            store: Store::default(),
-            cloud: Cloud::of(plan.machines, plan.boot_ms),
+            store: Store::of(plan.store),
+            cloud: Cloud::of(plan.machines, plan.boot_ms, plan.zone_names),
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             results: BTreeMap::new(),
@@ -364,6 +407,7 @@
             collects: false,
             broken: BTreeSet::new(),
             upgraded: false,
+            costs: costs::Costs::default(),
             plan,
         };
         if world.plan.spread {
@@ -560,7 +604,13 @@
         self.deliver_kept();
         // Of a whole fleet that takes long; what breaks a rule there does so for longer than this.
         if self.plan.machines <= FLEET || self.now >= self.next_check {
-            self.next_check = self.now + 50;
+            let large = self.plan.machines > LARGE_FLEET;
+            self.next_check = self.now
+                + if large {
+                    LARGE_FLEET_CHECKS
+                } else {
+                    FLEET_CHECKS
+                };
             self.gangs();
             self.check();
         }
@@ -628,7 +678,7 @@
     fn step(&mut self, node: usize, input: Input) {
         let now = self.clock(node);
         let life = self.nodes[node].life;
-        for output in self.step_core(node, input, now) {
+        for output in self.measured_step(node, input, now) {
             let hop = self.hop();
             match output {
                 Output::Answer {
@@ -904,12 +954,13 @@
 
     fn new_machines(&mut self) {
         for (id, offer) in self.cloud.booted(self.now) {
-            let worker = Worker::new(id.clone(), offer, self.now);
+            let worker = Worker::new(id.clone(), offer, self.plan.gang_wait_s * 1_000, self.now);
             self.workers.insert(id.clone(), worker);
             self.after(10, Event::Report(id));
         }
-        let cloud = &self.cloud;
-        self.workers.retain(|id, _| cloud.has(id));
+        for id in self.cloud.gone() {
+            self.workers.remove(&id);
+        }
     }
 
     fn report(&mut self, id: &MachineId) {
@@ -933,7 +984,7 @@
             return self.after(until - self.now, Event::Report(id.clone()));
         }
         worker.expire(self.now, self.plan.lease_s * 1_000);
-        worker.work(self.now, results);
+        let completed = worker.work(self.now, results);
         let node = worker.node;
         let report = worker.report();
         let session = worker.session.0;
@@ -948,7 +999,9 @@
             worker.node = (node + 1) % nodes;
         }
         self.after(next, Event::Report(id.clone()));
-        self.jobs_ended();
+        if completed {
+            self.jobs_ended();
+        }
         if cut || mute || self.nodes[node].core.is_none() {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.node = (node + 1) % self.plan.nodes;
--- /dev/null
+++ b/crates/core/tests/sim/world/costs.rs
@@ -0,0 +1,105 @@
+//! What steps of the core and messages between nodes cost.
+
+use super::*;
+use std::time::{Duration, Instant};
+
+/// Steps of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StepCost {
+    pub count: u32,
+    pub total: Duration,
+    pub longest: Duration,
+}
+
+impl StepCost {
+    fn add(&mut self, took: Duration) {
+        self.count += 1;
+        self.total += took;
+        self.longest = self.longest.max(took);
+    }
+}
+
+/// Messages of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MessageCost {
+    pub count: u32,
+    pub bytes: usize,
+    pub largest: usize,
+}
+
+impl MessageCost {
+    fn add(&mut self, bytes: usize) {
+        self.count += 1;
+        self.bytes += bytes;
+        self.largest = self.largest.max(bytes);
+    }
+}
+
+/// What was measured since it was last taken.
+#[derive(Debug, Default)]
+pub struct Costs {
+    /// By whether the node leads and the kind of input.
+    pub steps: BTreeMap<(bool, &'static str), StepCost>,
+    /// By kind: messages to peers, and calls to the state service, the cloud and workers.
+    pub messages: BTreeMap<&'static str, MessageCost>,
+}
+
+impl World {
+    /// A step of the core, measured if the plan says so.
+    pub(super) fn measured_step(&mut self, node: usize, input: Input, now: Now) -> Vec<Output> {
+        if !self.plan.measures {
+            return self.step_core(node, input, now);
+        }
+        let kind = (self.leading() == Some(node), kind_of(&input));
+        let begun = Instant::now();
+        let outputs = self.step_core(node, input, now);
+        let took = begun.elapsed();
+        self.costs.steps.entry(kind).or_default().add(took);
+        for output in &outputs {
+            if let Some((kind, bytes)) = message(output) {
+                self.costs.messages.entry(kind).or_default().add(bytes);
+            }
+        }
+        outputs
+    }
+}
+
+fn kind_of(input: &Input) -> &'static str {
+    match input {
+        Input::Tick => "tick",
+        Input::User(..) | Input::Forwarded(..) => "user",
+        Input::Report(..) => "report",
+        Input::Health(..) | Input::Admin(..) => "admin",
+        Input::Heartbeat(..) | Input::HeartbeatReply(..) => "heartbeat",
+        Input::Reports(..) => "batch of reports",
+        Input::ReportsReply(..) => "reply to a batch",
+        Input::Announced(..) | Input::AnnounceReply(..) => "announcement",
+        Input::ForwardReply(..) => "reply to a user",
+        Input::State(..) => "state service",
+        Input::Watched(..) | Input::WatchLost => "watch",
+        Input::Cloud(..) => "cloud",
+        Input::Direct(..) => "direct call",
+    }
+}
+
+/// The kind and the bytes of what goes to peers, the state service, the cloud and workers.
+fn message(output: &Output) -> Option<(&'static str, usize)> {
+    Some(match output {
+        Output::Heartbeat(beat) => ("heartbeat", bitcode::encode(beat).len()),
+        Output::AnswerHeartbeat(_, reply) => ("heartbeat reply", bitcode::encode(reply).len()),
+        Output::PassReports(_, _, reports) => ("batch of reports", bitcode::encode(reports).len()),
+        Output::AnswerReports(_, reply) => ("reply to a batch", bitcode::encode(reply).len()),
+        Output::Announce(_, told) => ("announcement", bitcode::encode(told).len()),
+        Output::State(_, rudderreel_core::StateCall::Commit(transaction)) => {
+            let bytes = serde_json::to_vec(transaction).expect("JSON").len();
+            ("commit", bytes)
+        }
+        Output::State(..) => ("other state call", 0),
+        Output::Cloud(..) => ("cloud call", 0),
+        Output::Direct { body, .. } => {
+            let bytes = serde_json::to_vec(body).expect("JSON").len();
+            ("direct call", bytes)
+        }
+        _ => return None,
+    })
+}
--- a/crates/core/tests/sim/world/pipelines.rs
+++ b/crates/core/tests/sim/world/pipelines.rs
@@ -93,7 +93,7 @@
     pub(super) fn check_not_orphaned(&mut self, id: &JobId) {
         for ancestor in self.ancestors(id) {
             let cancelled = self.jobs[&ancestor].cancelled_at;
-            if let Some(at) = cancelled.filter(|at| self.now > at + CANCEL_MS) {
+            if let Some(at) = cancelled.filter(|at| self.now > at + self.plan.cancel_ms()) {
                 self.breaks(
                     "orphaned",
                     &format!("{id}, {ancestor} was cancelled at {at}"),
--- a/crates/core/tests/sim/world/rules.rs
+++ b/crates/core/tests/sim/world/rules.rs
@@ -165,7 +165,7 @@
                 let zone = zones.entry(&told.spec.id).or_default();
                 *zone.entry(worker.zone()).or_default() += 1;
                 let cancelled = self.cancelled_since(&task.task.job);
-                if cancelled.is_some_and(|at| self.now > at + CANCEL_MS) {
+                if cancelled.is_some_and(|at| self.now > at + self.plan.cancel_ms()) {
                     left.push(task.task.to_string());
                 }
                 assert!(
@@ -178,12 +178,9 @@
         for ((job, index), n) in &places {
             assert!(*n < 2, "ran_twice: {job}/{index} at {}", self.now);
         }
-        let (red, blue) = self.plan.limits;
+        let (red, blue) = self.plan.team_limits();
         let limits = [("red", f64::from(red)), ("blue", f64::from(blue))];
-        for (team, limit) in limits
-            .into_iter()
-            .filter(|_| !self.plan.crowd && !self.plan.large)
-        {
+        for (team, limit) in limits {
             assert!(used.get(team).is_none_or(|u| *u <= limit), "quota: {team}");
         }
         let full = limits
--- a/crates/core/tests/sim/world/troubles.rs
+++ b/crates/core/tests/sim/world/troubles.rs
@@ -212,7 +212,7 @@
             Trouble::CancelNow => {
                 self.cancel_now(4, long);
                 // Users repeat that, and what is cancelled has to be gone, for so long.
-                until = self.now + CANCEL_MS / 2;
+                until = self.now + self.plan.cancel_ms() / 2;
             }
             Trouble::CancelAtEnd => self.cancel_at_end_until = long,
             Trouble::CloseLooks => self.close_looks_until = long,
@@ -259,7 +259,7 @@
         (of(a)).map(|x| of(b).filter(|y| meets(x, y)).count()).sum()
     }
 
-    pub(super) fn some_workers(&mut self, share: f64, trouble: impl Fn(&mut Worker)) {
+    pub fn some_workers(&mut self, share: f64, trouble: impl Fn(&mut Worker)) {
         for worker in self.workers.values_mut() {
             if self.rng.random_bool(share) {
                 trouble(worker);
--- a/crates/core/tests/sim/world/users.rs
+++ b/crates/core/tests/sim/world/users.rs
@@ -73,10 +73,10 @@
             cancelled_at: None,
             withdrawn: false,
             fits_since: None,
-            run_ms: if self.plan.uneven {
-                (1_000, 13_000)
-            } else {
-                (4_000, 0)
+            run_ms: match self.plan.run_ms {
+                Some(range) => range,
+                None if self.plan.uneven => (1_000, 13_000),
+                None => (4_000, 0),
             },
             final_at: 0,
             asked_at: self.now,
@@ -120,13 +120,15 @@
         let berth =
             (self.plan.bound && rng.random_bool(0.5)).then(|| ["a", "b"][rng.random_range(0..2)]);
         let needs = self.some_dependencies();
+        let expected_s =
+            (self.plan.run_ms).map_or(4.0, |(least, more)| (least + more / 2) as f64 / 1e3);
         let rng = &mut self.rng;
         let value = serde_json::json!({
             "id": format!("wk-{:06}", self.next_job), "reel": kind, "crew": team, "rig": kind,
             "precedence": priority, "takes": tasks, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
             "pressing": format!("img-{}", rng.random_range(0..2)), "pullGb": 0.5, "hulls": null,
             "berth": berth, "together": together, "scatter": scatter,
-            "driftwood": kind != "standing", "expectedS": 4.0, "snapshotS": 0.0, "stowS": 0.0,
+            "driftwood": kind != "standing", "expectedS": expected_s, "snapshotS": 0.0, "stowS": 0.0,
             "dueS": null, "awaits": needs});
         serde_json::from_value(value).expect("a job")
     }
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -3,6 +3,13 @@
 use crate::ids::{MachineId, TypeName, Zone};
 use serde::{Deserialize, Serialize};
 
+/// Machines that one rental request may name, by the protocol.
+pub const MACHINES_PER_RENTAL: u32 = 50;
+/// Machines that one return may name.
+pub const MACHINES_PER_RETURN: usize = 100;
+/// Machines on a page of the list.
+pub const MACHINES_PER_PAGE: usize = 500;
+
 /// A machine type on offer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,6 +5,10 @@
 use bitcode::{Decode, Encode};
 use serde_json::{json, Value};
 
+/// The largest message between nodes, in bytes. Whoever sends one keeps well below it: reports and
+/// cancellations go in batches, and counts are cut.
+pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
 /// Sent to every other node a few times a second.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct Heartbeat {
