Loopback: a fleet at once, and team limits while three real controllers fail

Need: what the simulated world shows about 4,000 machines and about team limits must hold for the real processes, too. Stand-ins for the state service and the cloud (those of the simulated world, over HTTP) and for workers; the workers note what they run, and a check of their history looks at every instant.

- 4,000 workers connect and report at once: all are answered, health checks too; a node with fewer sockets sends the rest on (225 of 260 kept with 400 sockets).

--- a/crates/controller/src/admin.rs
+++ b/crates/controller/src/admin.rs
@@ -33,6 +33,8 @@
     },
     /// Tasks that were stopped lately, and why.
     Stops,
+    /// What the node refused since it started.
+    Refusals,
     /// Why a job is where it is.
     Job {
         /// The job's id.
@@ -64,6 +66,7 @@
         What::Machines { after: None } => get("/admin/machines"),
         What::Machines { after: Some(name) } => get(&format!("/admin/machines?after={name}")),
         What::Stops => get("/admin/stops"),
+        What::Refusals => get("/admin/refusals"),
         What::Job { id } => get(&format!("/admin/jobs/{id}")),
         What::Settings { change: None } => get("/admin/settings"),
         What::Settings {
--- a/crates/controller/tests/loopback/controller.rs
+++ b/crates/controller/tests/loopback/controller.rs
@@ -1,6 +1,7 @@
-//! A real controller as a child process.
+//! Real controllers as child processes.
 
-use crate::stand_ins::Addresses;
+use crate::stand_ins::Outside;
+use crate::workers::{LEASE, REPORT};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -9,35 +10,88 @@
 /// Tells the settings files of one test process apart.
 static FILES: AtomicU32 = AtomicU32::new(0);
 
+/// A team and the CPUs that it may use.
+pub type TeamLimit = (&'static str, f64);
+
+/// What controllers are started with.
+pub struct Deployment {
+    pub controllers: usize,
+    pub sockets: u64,
+    pub teams: Vec<TeamLimit>,
+}
+
 /// A controller, which is ended with this.
 pub struct Controller {
     process: Child,
     settings: PathBuf,
+    pub name: String,
     /// Where users and workers come.
     pub front: SocketAddr,
     /// Where peers and administrators come.
     pub peers: SocketAddr,
 }
 
-/// An address that is free at the moment.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// Addresses that are free at the moment.
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let listen = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listeners: Vec<TcpListener> = (0..count).map(listen).collect();
+    let addr = |listener: &TcpListener| listener.local_addr().expect("an address");
+    listeners.iter().map(addr).collect()
 }
 
-impl Controller {
-    /// Starts one that is alone, with so many sockets.
-    pub fn start(outside: &Addresses, sockets: u64) -> Self {
-        let (front, peers) = (free_address(), free_address());
-        let text = format!(
-            "node = \"n0\"\ndomain = \"a\"\nfront = \"{front}\"\npeer_bind = \"{peers}\"\n\
-            [outside]\ncloud = \"{}\"\nstate = \"{}\"\n[params]\nnodes = 1\nzones = [\"a\", \"b\"]\n\
-            [[params.teams]]\nname = \"red\"\ncpus = 100.0\n\
-            [params.workers]\nreport_s = 6.0\nlease_s = 31.0\ngang_wait_s = 10.0\ngang_peer_s = 2.0\n\
-            cancel_s = 56.0\n[params.state]\nrps = 600.0\nwrite_rps = 60.0\nvalue_kb = 32.0\ntxn_ops = 20\n\
-            [params.cloud]\nrps = 6.0\nlist_lag_s = 3.0\n[params.machine_limits]\nfd_limit = {sockets}\n",
-            outside.cloud, outside.state
+/// Starts the controllers of a deployment.
+pub fn start_all(deployment: &Deployment, outside: &Outside) -> Vec<Controller> {
+    let fronts = free_addresses(deployment.controllers);
+    let peers = free_addresses(deployment.controllers);
+    (0..deployment.controllers)
+        .map(|n| {
+            let text = settings(deployment, outside, n, &fronts, &peers);
+            Controller::start(format!("n{n}"), &text, fronts[n], peers[n])
+        })
+        .collect()
+}
+
+fn settings(
+    deployment: &Deployment,
+    outside: &Outside,
+    me: usize,
+    fronts: &[SocketAddr],
+    peers: &[SocketAddr],
+) -> String {
+    let zone = |n: usize| ["a", "b"][n % 2];
+    let (front, peer) = (fronts[me], peers[me]);
+    let mut text = format!(
+        "node = \"n{me}\"\ndomain = \"{}\"\nfront = \"{front}\"\npeer_bind = \"{peer}\"\n",
+        zone(me)
+    );
+    for (n, addr) in peers.iter().enumerate().filter(|(n, _)| *n != me) {
+        text += &format!(
+            "[[members]]\nnode = \"n{n}\"\ndomain = \"{}\"\nendpoint = \"{addr}\"\n",
+            zone(n)
         );
+    }
+    text += &format!(
+        "[outside]\ncloud = \"{}\"\nstate = \"{}\"\n[params]\nnodes = {}\nzones = [\"a\", \"b\"]\n",
+        outside.cloud,
+        outside.state[me],
+        peers.len()
+    );
+    for (team, cpus) in &deployment.teams {
+        text += &format!("[[params.teams]]\nname = \"{team}\"\ncpus = 2.0\ncpus_max = {cpus:.1}\n");
+    }
+    text += &format!(
+        "[params.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ngang_wait_s = 10.0\ngang_peer_s = 2.0\n\
+        cancel_s = 20.0\n[params.state]\nrps = 600.0\nwrite_rps = 200.0\nvalue_kb = 32.0\ntxn_ops = 20\n\
+        [params.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[params.machine_limits]\nfd_limit = {}\n",
+        REPORT.as_secs_f64(),
+        LEASE.as_secs_f64(),
+        deployment.sockets
+    );
+    text
+}
+
+impl Controller {
+    fn start(name: String, text: &str, front: SocketAddr, peers: SocketAddr) -> Self {
         let file = format!(
             "rudderreel-{}-{}.toml",
             std::process::id(),
@@ -45,21 +99,45 @@
         );
         let settings = std::env::temp_dir().join(file);
         std::fs::write(&settings, text).expect("the settings are written");
-        let process = Command::new(env!("CARGO_BIN_EXE_rudderreel"))
-            .arg("--config")
-            .arg(&settings)
-            .env("LOG_LEVEL", "error")
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("it starts");
+        let process = spawn(&settings);
         Self {
             process,
             settings,
+            name,
             front,
             peers,
         }
     }
 
+    /// Ends the process without a signal that it could handle, and starts it again.
+    pub fn restart(&mut self) {
+        self.end();
+        self.process = spawn(&self.settings);
+    }
+
+    fn end(&mut self) {
+        self.process.kill().expect("it is ended");
+        self.process.wait().expect("it has ended");
+    }
+
+    /// Has it stand still; its clocks go on.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Has it go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args([signal, &self.process.id().to_string()])
+            .status()
+            .expect("a signal is sent");
+        assert!(status.success());
+    }
+
     /// Bytes of memory that the process holds.
     pub fn memory(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
@@ -69,6 +147,16 @@
     }
 }
 
+fn spawn(settings: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_rudderreel"))
+        .arg("--config")
+        .arg(settings)
+        .env("LOG_LEVEL", "error")
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("it starts")
+}
+
 impl Drop for Controller {
     fn drop(&mut self) {
         let _ = self.process.kill();
--- a/crates/controller/tests/loopback/fleet.rs
+++ b/crates/controller/tests/loopback/fleet.rs
@@ -1,13 +1,15 @@
 //! A whole fleet comes to one controller at once.
 
-use crate::controller::Controller;
-use crate::stand_ins;
+use crate::controller::{start_all, Controller, Deployment};
+use crate::history::History;
+use crate::stand_ins::Outside;
+use crate::workers::Shared;
 use rudderreel_wire::ids::{Epoch, Seq, Session};
 use rudderreel_wire::worker::Report;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Barrier};
+use std::sync::{Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
 
 /// Workers that come at once.
@@ -82,6 +84,25 @@
     serde_json::to_string(&report).expect("JSON")
 }
 
+/// A controller that is alone, with so many sockets, and the services outside.
+fn alone(sockets: u64) -> (Outside, Controller) {
+    let shared = Arc::new(Shared {
+        history: History::default(),
+        jobs: Mutex::default(),
+        controllers: Mutex::default(),
+        run: Duration::from_secs(1),
+    });
+    let outside = Outside::start(1, 0, shared);
+    let deployment = Deployment {
+        controllers: 1,
+        sockets,
+        teams: vec![("red", 100.0)],
+    };
+    let controller = start_all(&deployment, &outside).remove(0);
+    wait_until_up(controller.front);
+    (outside, controller)
+}
+
 /// Waits until the controller leads and answers.
 fn wait_until_up(front: SocketAddr) {
     let until = Instant::now() + PATIENCE;
@@ -188,9 +209,7 @@
 #[test]
 fn a_fleet_that_comes_at_once_is_answered() {
     let workers = permitted(WORKERS);
-    let outside = stand_ins::start();
-    let controller = Controller::start(&outside, 2 * workers as u64);
-    wait_until_up(controller.front);
+    let (_outside, controller) = alone(2 * workers as u64);
     let rush = rush(&controller, workers);
     assert_eq!(rush.answered, workers);
     assert!(rush.checks > 0);
@@ -202,9 +221,7 @@
 /// A node with fewer sockets than the fleet wants takes what it can, and sends the others on at once.
 #[test]
 fn workers_beyond_the_sockets_are_sent_elsewhere() {
-    let outside = stand_ins::start();
-    let controller = Controller::start(&outside, 400);
-    wait_until_up(controller.front);
+    let (_outside, controller) = alone(400);
     let rush = rush(&controller, 260);
     assert_eq!(rush.answered + rush.elsewhere, 260);
     // 400 sockets are for 300 connections, of which 225 are for workers.
@@ -217,9 +234,7 @@
 fn health_is_answered_within_a_second_while_a_fleet_comes() {
     for workers in [4_000, 6_000] {
         let workers = permitted(workers);
-        let outside = stand_ins::start();
-        let controller = Controller::start(&outside, 2 * workers as u64);
-        wait_until_up(controller.front);
+        let (_outside, controller) = alone(2 * workers as u64);
         let rush = rush(&controller, workers);
         assert_eq!(rush.answered, workers);
         assert!(rush.slowest_check < Duration::from_secs(1));
--- a/crates/controller/tests/loopback/stand_ins.rs
+++ b/crates/controller/tests/loopback/stand_ins.rs
@@ -1,6 +1,7 @@
 //! The state service and the cloud over HTTP, on loopback.
 
 use crate::stores::{Cloud, Limits, Store};
+use crate::workers::{Shared, Worker};
 use rudderreel_core::{CloudAnswer, CloudCall, StateAnswer, StateCall, Value};
 use rudderreel_wire::ids::{LeaseId, MachineId, Version};
 use rudderreel_wire::state::{Committed, Events, Lease, LeaseRequest};
@@ -8,6 +9,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tiny_http::{Method, Request, Response, Server};
@@ -17,6 +19,11 @@
 /// How often a watch looks for changes.
 const WATCH_LOOKS: Duration = Duration::from_millis(5);
 
+/// How often a thread looks whether the test is over.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long machines take to come up, at least and at most.
+const BOOT_MS: (u64, u64) = (200, 500);
+
 /// Limits that no test comes near.
 const AMPLE: Limits = Limits {
     rps: 10_000,
@@ -34,38 +41,80 @@
     store: Mutex<Store>,
     cloud: Mutex<Cloud>,
     started: Instant,
+    workers: Mutex<BTreeMap<MachineId, Arc<Worker>>>,
+    shared: Arc<Shared>,
+    /// By controller: whether the state service refuses it.
+    refused: Vec<AtomicBool>,
+    over: AtomicBool,
 }
 
-/// Where they listen.
-pub struct Addresses {
-    pub state: SocketAddr,
+/// The services outside, and where they listen.
+pub struct Outside {
+    stand_ins: Arc<StandIns>,
+    /// By controller, so that one can be told from another.
+    pub state: Vec<SocketAddr>,
     pub cloud: SocketAddr,
 }
 
-/// Starts both.
-pub fn start() -> Addresses {
-    let stand_ins = Arc::new(StandIns {
-        store: Mutex::new(Store::of(AMPLE)),
-        cloud: Mutex::new(Cloud::of(0, (1_000, 1_000), &["a", "b"])),
-        started: Instant::now(),
-    });
-    Addresses {
-        state: serve(&stand_ins, StandIns::state_request),
-        cloud: serve(&stand_ins, StandIns::cloud_request),
+impl Outside {
+    /// Starts them for so many controllers, with so many machines to rent.
+    pub fn start(controllers: usize, machines: usize, shared: Arc<Shared>) -> Self {
+        let stand_ins = Arc::new(StandIns {
+            store: Mutex::new(Store::of(AMPLE)),
+            cloud: Mutex::new(Cloud::of(machines, BOOT_MS, &["a", "b"])),
+            started: Instant::now(),
+            workers: Mutex::default(),
+            shared,
+            refused: (0..controllers).map(|_| AtomicBool::new(false)).collect(),
+            over: AtomicBool::new(false),
+        });
+        let state = (0..controllers)
+            .map(|n| serve(&stand_ins, move |s, m, u, b| s.state_request(n, m, u, b)))
+            .collect();
+        let cloud = serve(&stand_ins, StandIns::cloud_request);
+        let booting = stand_ins.clone();
+        std::thread::spawn(move || booting.boot_for_ever());
+        Self {
+            stand_ins,
+            state,
+            cloud,
+        }
+    }
+
+    /// Whether the state service refuses a controller from now on.
+    pub fn refuse(&self, controller: usize, refused: bool) {
+        self.stand_ins.refused[controller].store(refused, Ordering::SeqCst);
+    }
+
+    /// Who leads, by the state service.
+    pub fn leader(&self) -> Option<String> {
+        let store = self.stand_ins.store();
+        store.text("pub/leader", "node")
+    }
+}
+
+impl Drop for Outside {
+    fn drop(&mut self) {
+        self.stand_ins.over.store(true, Ordering::SeqCst);
+        let workers = self.stand_ins.workers.lock().expect("the workers");
+        workers.values().for_each(|worker| worker.end());
     }
 }
 
 /// Serves requests on threads of their own.
 fn serve(
     stand_ins: &Arc<StandIns>,
-    answer: fn(&StandIns, &Method, &Url, &str) -> Answer,
+    answer: impl Fn(&StandIns, &Method, &Url, &str) -> Answer + Clone + Send + 'static,
 ) -> SocketAddr {
     let server = Arc::new(Server::http("127.0.0.1:0").expect("it listens"));
     let addr = server.server_addr().to_ip().expect("an address");
     for _ in 0..THREADS {
-        let (server, stand_ins) = (server.clone(), stand_ins.clone());
+        let (server, stand_ins, answer) = (server.clone(), stand_ins.clone(), answer.clone());
         std::thread::spawn(move || {
-            while let Ok(mut request) = server.recv() {
+            while !stand_ins.is_over() {
+                let Ok(Some(mut request)) = server.recv_timeout(LOOK) else {
+                    continue;
+                };
                 let mut body = String::new();
                 if request.as_reader().read_to_string(&mut body).is_err() {
                     continue;
@@ -126,10 +175,21 @@
         self.store.lock().expect("the store")
     }
 
-    fn state_request(&self, method: &Method, url: &Url, body: &str) -> Answer {
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    fn is_refused(&self, controller: usize) -> bool {
+        self.refused[controller].load(Ordering::SeqCst)
+    }
+
+    fn state_request(&self, controller: usize, method: &Method, url: &Url, body: &str) -> Answer {
+        if self.is_refused(controller) {
+            return (503, "{}".into());
+        }
         let parts: Vec<&str> = url.path.split('/').skip(1).collect();
         let call = match (method, parts.as_slice()) {
-            (Method::Get, ["changes"]) => return self.watch(url),
+            (Method::Get, ["changes"]) => return self.watch(controller, url),
             (Method::Get, ["keys"]) => {
                 let after = url.query.get("after").cloned();
                 StateCall::List(url.text("prefix"), after)
@@ -146,11 +206,16 @@
     }
 
     /// Waits until something has changed, or the time runs out.
-    fn watch(&self, url: &Url) -> Answer {
+    fn watch(&self, controller: usize, url: &Url) -> Answer {
         let after = Version(url.number("after"));
         let until = Instant::now() + Duration::from_millis(url.number("blockMs"));
         loop {
-            let seen = self.store().since(after);
+            let refused = self.is_refused(controller);
+            let seen = if refused {
+                None
+            } else {
+                self.store().since(after)
+            };
             let (revision, events) = match seen {
                 Some(seen) => seen,
                 None if Instant::now() >= until => (after, Vec::new()),
@@ -175,8 +240,18 @@
             (Method::Post, "/rentals/return") => CloudCall::Return(read(body)),
             _ => panic!("{method} {}", url.path),
         };
-        let now = self.now();
-        match self.cloud.lock().expect("the cloud").call(&call, now) {
+        let answer = {
+            let mut cloud = self.cloud.lock().expect("the cloud");
+            let answer = cloud.call(&call, self.now());
+            // By the time of the answer the machines and everything on them are gone.
+            for id in cloud.gone() {
+                if let Some(worker) = self.workers.lock().expect("the workers").remove(&id) {
+                    worker.end();
+                }
+            }
+            answer
+        };
+        match answer {
             CloudAnswer::Catalog(catalog) => json(200, &catalog),
             CloudAnswer::Rented(names) => json(200, &names),
             CloudAnswer::Page(page) => json(200, &page),
@@ -188,6 +263,23 @@
     }
 }
 
+impl StandIns {
+    /// Starts the workers of machines that have come up.
+    fn boot_for_ever(&self) {
+        while !self.is_over() {
+            {
+                let mut cloud = self.cloud.lock().expect("the cloud");
+                for (id, rent) in cloud.booted(self.now()) {
+                    let worker = Worker::start(id.clone(), rent, self.shared.clone());
+                    let mut workers = self.workers.lock().expect("the workers");
+                    workers.insert(id, worker);
+                }
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+}
+
 fn lease_id(text: &str) -> LeaseId {
     LeaseId(text.parse().expect("a lease"))
 }
