--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -6,9 +6,11 @@
 //! Connections are counted. Those of workers may take only a part, so that users, health checks and
 //! peers keep their places; what is too many is refused at once.
 
+mod answer;
 mod parse;
 
 use crate::counters::Refusals;
+pub use answer::Answer;
 use crossbeam_channel::{bounded, Receiver, Sender};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -41,19 +43,6 @@
 const LISTENER: Token = Token(usize::MAX);
 const WAKER: Token = Token(usize::MAX - 1);
 
-/// What is sent back.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Body.
-    pub body: Vec<u8>,
-    /// When to come back, in seconds.
-    pub retry_after: Option<u32>,
-    /// Whether the connection ends with it.
-    pub close: bool,
-}
-
 /// A request as it came in.
 pub struct Request<'a> {
     /// Method.
@@ -511,67 +500,5 @@
     }
 }
 
-impl Answer {
-    /// JSON with a status.
-    pub fn json(status: u16, body: Vec<u8>) -> Self {
-        Self {
-            status,
-            body,
-            ..Self::default()
-        }
-    }
-
-    /// A refusal with a text; after a 503 the client is told when to come back.
-    pub fn error(status: u16, text: &str) -> Self {
-        let body = serde_json::json!({ "error": text }).to_string();
-        Self {
-            retry_after: (status == 503).then_some(1),
-            ..Self::json(status, body.into_bytes())
-        }
-    }
-
-    /// Sends a worker on to some other node.
-    fn elsewhere() -> Self {
-        Self {
-            close: true,
-            ..Self::json(421, b"{}".to_vec())
-        }
-    }
-
-    fn bytes(&self, close: bool) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(128 + self.body.len());
-        let retry = (self.retry_after)
-            .map(|s| format!("Retry-After: {s}\r\n"))
-            .unwrap_or_default();
-        let connection = if close { "Connection: close\r\n" } else { "" };
-        let head = format!(
-            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{retry}{connection}\r\n",
-            self.status,
-            reason(self.status),
-            self.body.len(),
-        );
-        bytes.extend_from_slice(head.as_bytes());
-        bytes.extend_from_slice(&self.body);
-        bytes
-    }
-}
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        409 => "Conflict",
-        421 => "Misdirected Request",
-        422 => "Unprocessable Content",
-        429 => "Too Many Requests",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Other",
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/controller/src/outgoing.rs
+++ b/crates/controller/src/outgoing.rs
@@ -218,28 +218,42 @@
     })
 }
 
-fn start_state(
+/// Starts threads that take what waits in a queue; returns where it is put. What comes of each goes to the
+/// core, if anything does.
+fn start_threads<T: Send + 'static>(
     name: &str,
     threads: usize,
-    addr: SocketAddrV4,
-    clock: Clock,
+    waiting: usize,
     core: &Sender<Input>,
-) -> Result<Sender<(CallId, StateCall)>, String> {
-    let (calls, queue) = bounded::<(CallId, StateCall)>(CALLS);
-    let agent = clients::agent(400, 1_200);
+    call: impl Fn(T) -> Option<Input> + Clone + Send + 'static,
+) -> Result<Sender<T>, String> {
+    let (sender, queue) = bounded::<T>(waiting);
     for i in 0..threads {
-        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
+        let (queue, core, call) = (queue.clone(), core.clone(), call.clone());
         spawn(&format!("{name}-{i}"), move || {
-            for (id, call) in queue {
-                let sent = clock.time();
-                let answer = clients::call_state(&agent, addr, &call);
-                if core.send(Input::State(id, sent, answer)).is_err() {
+            for input in queue.into_iter().filter_map(call) {
+                if core.send(input).is_err() {
                     return;
                 }
             }
         })?;
     }
-    Ok(calls)
+    Ok(sender)
+}
+
+fn start_state(
+    name: &str,
+    threads: usize,
+    addr: SocketAddrV4,
+    clock: Clock,
+    core: &Sender<Input>,
+) -> Result<Sender<(CallId, StateCall)>, String> {
+    let agent = clients::agent(400, 1_200);
+    start_threads(name, threads, CALLS, core, move |(id, call)| {
+        let sent = clock.time();
+        let answer = clients::call_state(&agent, addr, &call);
+        Some(Input::State(id, sent, answer))
+    })
 }
 
 fn start_watch(settings: &Settings, core: &Sender<Input>) -> Result<Sender<Version>, String> {
@@ -273,20 +287,10 @@
     addr: SocketAddrV4,
     core: &Sender<Input>,
 ) -> Result<Sender<(CallId, CloudCall)>, String> {
-    let (calls, queue) = bounded::<(CallId, CloudCall)>(CALLS);
     let agent = clients::agent(1_000, 4_000);
-    for i in 0..CLOUD_THREADS {
-        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
-        spawn(&format!("cloud-{i}"), move || {
-            for (id, call) in queue {
-                let answer = clients::call_cloud(&agent, addr, &call);
-                if core.send(Input::Cloud(id, answer)).is_err() {
-                    return;
-                }
-            }
-        })?;
-    }
-    Ok(calls)
+    start_threads("cloud", CLOUD_THREADS, CALLS, core, move |(id, call)| {
+        Some(Input::Cloud(id, clients::call_cloud(&agent, addr, &call)))
+    })
 }
 
 fn start_workers(
@@ -295,21 +299,11 @@
     waiting: usize,
     core: &Sender<Input>,
 ) -> Result<Sender<WorkerCall>, String> {
-    let (calls, queue) = bounded::<WorkerCall>(waiting);
     let agent = clients::agent(400, 1_000);
-    for i in 0..threads {
-        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
-        spawn(&format!("{name}-{i}"), move || {
-            for call in queue {
-                let outcome = clients::call_worker(&agent, &call.addr, &call.body);
-                let input = Input::Direct(call.machine, call.body, outcome);
-                if core.send(input).is_err() {
-                    return;
-                }
-            }
-        })?;
-    }
-    Ok(calls)
+    start_threads(name, threads, waiting, core, move |call: WorkerCall| {
+        let outcome = clients::call_worker(&agent, &call.addr, &call.body);
+        Some(Input::Direct(call.machine, call.body, outcome))
+    })
 }
 
 fn start_peer(
@@ -319,37 +313,25 @@
     threads: usize,
     waiting: usize,
 ) -> Result<Sender<PeerMessage>, String> {
-    let (messages, queue) = bounded::<PeerMessage>(waiting);
     let agent = clients::agent(300, 1_000);
-    for i in 0..threads {
-        let (queue, core, agent) = (queue.clone(), core.clone(), agent.clone());
-        spawn(&format!("peer-{i}"), move || {
-            for message in queue {
-                let input = match message {
-                    PeerMessage::Heartbeat(beat) => {
-                        let sent = clock.time();
-                        match clients::heartbeat(&agent, addr, &beat) {
-                            Some(reply) => Input::HeartbeatReply(sent, reply),
-                            None => continue,
-                        }
-                    }
-                    PeerMessage::Reports(id, reports) => {
-                        Input::ReportsReply(id, clients::pass_reports(&agent, addr, &reports))
-                    }
-                    PeerMessage::Announce(peer, told) => {
-                        Input::AnnounceReply(peer, clients::announce(&agent, addr, &told))
-                    }
-                    PeerMessage::Forward(req, request) => {
-                        Input::ForwardReply(req, clients::forward(&agent, addr, &request))
-                    }
-                };
-                if core.send(input).is_err() {
-                    return;
-                }
+    start_threads("peer", threads, waiting, core, move |message| {
+        Some(match message {
+            PeerMessage::Heartbeat(beat) => {
+                let sent = clock.time();
+                // One without an answer says nothing.
+                Input::HeartbeatReply(sent, clients::heartbeat(&agent, addr, &beat)?)
             }
-        })?;
-    }
-    Ok(messages)
+            PeerMessage::Reports(id, reports) => {
+                Input::ReportsReply(id, clients::pass_reports(&agent, addr, &reports))
+            }
+            PeerMessage::Announce(peer, told) => {
+                Input::AnnounceReply(peer, clients::announce(&agent, addr, &told))
+            }
+            PeerMessage::Forward(req, request) => {
+                Input::ForwardReply(req, clients::forward(&agent, addr, &request))
+            }
+        })
+    })
 }
 
 #[cfg(test)]
--- a/crates/core/src/placement_log.rs
+++ b/crates/core/src/placement_log.rs
@@ -9,14 +9,15 @@
 //! A commit of unknown outcome is repeated with the same page. Its key must not exist yet, so it is
 //! carried out once at most; a conflict on that key alone shows that it was.
 
+mod draft;
+
+use self::draft::{entry_bytes, line_bytes, page_bytes, progress_bytes, Draft, EMPTY_BYTES};
 use crate::core::Core;
 use crate::io::{StateAnswer, StateCall};
-use crate::job::Job;
 use crate::lead::Lead;
 use crate::placement_tracking::{Entry, Machine, Phase};
-use crate::records::{page_key, MachineLine, PageId, PageRecord};
+use crate::records::{page_key, PageId, PageRecord};
 use crate::recovery::{condition, put, LeadStep};
-use crate::store_limits::StoreLimits;
 use crate::task_set::TaskSet;
 use crate::units::{Now, Span, Time};
 use rudderreel_wire::ids::{JobId, MachineId, Version};
@@ -30,21 +31,6 @@
 const TIDY: Span = Span(1_000);
 /// A commit that was refused is repeated after so long.
 const AGAIN: Span = Span(200);
-/// A page is filled up to this part of what a value may hold: sizes are counted, not measured.
-const FILL: f64 = 0.9;
-/// A transaction holds 64 KiB; a page leaves room for the rest of it.
-const PAGE_BYTES: usize = 40_000;
-/// What a machine's line takes without names, with the punctuation round it.
-const LINE_BYTES: usize = 62;
-/// What the tasks of one attempt take without the job's id, and each of them: attempts have up to
-/// 14 digits for more than a million epochs, and tasks up to 6.
-const GROUP_BYTES: usize = 24;
-const INDEX_BYTES: usize = 7;
-/// What a job's progress takes without its id, and each range of done tasks.
-const JOB_BYTES: usize = 24;
-const RANGE_BYTES: usize = 16;
-/// What an empty page takes.
-const EMPTY_BYTES: usize = 24;
 /// Pages that are left alone however little is on them.
 const FEW_PAGES: usize = 12;
 
@@ -85,19 +71,6 @@
     again: Option<Time>,
 }
 
-/// A page that is being put together.
-#[derive(Default)]
-struct Draft {
-    record: PageRecord,
-    done: Vec<(JobId, TaskSet)>,
-    bytes: usize,
-}
-
-/// How many bytes a page is filled with.
-fn page_bytes(limits: &StoreLimits) -> usize {
-    ((limits.value_bytes as f64 * FILL) as usize).min(PAGE_BYTES)
-}
-
 impl PlacementLog {
     /// A page that was read back.
     pub fn learn(&mut self, page: PageId) {
@@ -161,127 +134,6 @@
     holds(entry) && !entry.is_recorded() && entry.writing == PageId::NONE
 }
 
-impl Draft {
-    fn new() -> Self {
-        Self {
-            bytes: EMPTY_BYTES,
-            ..Self::default()
-        }
-    }
-
-    fn line(&mut self, machine: &Machine) -> &mut MachineLine {
-        if !self.ends_with(machine) {
-            self.bytes += line_bytes(machine);
-            self.record.machines.push(MachineLine {
-                id: machine.id.clone(),
-                machine_type: machine.machine_type.clone(),
-                zone: machine.zone.clone(),
-                spot: machine.spot,
-                since: machine.since,
-                tasks: Vec::new(),
-            });
-        }
-        let last = self.record.machines.len() - 1;
-        &mut self.record.machines[last]
-    }
-
-    /// Whether the last line is that of a machine.
-    fn ends_with(&self, machine: &Machine) -> bool {
-        self.record.machines.last().map(|l| &l.id) == Some(&machine.id)
-    }
-
-    fn add(&mut self, machine: &Machine, entry: &Entry) {
-        let (job, index) = (&entry.task.job, entry.task.index);
-        let tasks = &mut self.line(machine).tasks;
-        match tasks.last_mut() {
-            Some((j, a, indexes)) if j == job && *a == entry.attempt => indexes.push(index),
-            _ => {
-                tasks.push((job.clone(), entry.attempt, vec![index]));
-                self.bytes += GROUP_BYTES + job.as_str().len();
-            }
-        }
-        self.bytes += INDEX_BYTES;
-    }
-
-    /// Adds a machine's line, in a page of so many bytes; returns whether there was room.
-    fn add_line_within(&mut self, machine: &Machine, most: usize) -> bool {
-        let fits = self.is_empty() || self.bytes + line_bytes(machine) <= most;
-        if fits {
-            self.line(machine);
-        }
-        fits
-    }
-
-    /// Adds an entry, in a page of so many bytes; returns whether there was room.
-    fn add_within(&mut self, machine: &Machine, entry: &Entry, most: usize) -> bool {
-        let line = if self.ends_with(machine) {
-            0
-        } else {
-            line_bytes(machine)
-        };
-        let fits = self.is_empty() || self.bytes + line + entry_bytes(entry) <= most;
-        if fits {
-            self.add(machine, entry);
-        }
-        fits
-    }
-
-    /// Adds what has been done of a job since, in a page of so many bytes; returns whether there was
-    /// room. Of a job with a great many tasks some may have to wait for a later page: then workers
-    /// go on reporting them as done. What is recorded already may take more than a page has, if the
-    /// limits have been lowered since; then it stays where it is.
-    fn add_new_progress(&mut self, job: &mut Job, most: usize) -> bool {
-        let left = most.saturating_sub(self.bytes + JOB_BYTES + job.spec.id.as_str().len());
-        let room = left / RANGE_BYTES;
-        let least = job.done.within(0, &job.recorded).ranges().count();
-        if room < least.max(1) {
-            return false;
-        }
-        job.recorded = job.done.within(room, &job.recorded);
-        self.add_progress(job);
-        true
-    }
-
-    /// Adds what is recorded of a job.
-    fn add_progress(&mut self, job: &Job) {
-        let id = &job.spec.id;
-        let ranges: Vec<(u32, u32)> = job.recorded.ranges().collect();
-        self.bytes += progress_bytes(job);
-        if job.is_suspected() {
-            self.record
-                .suspected
-                .push((id.clone(), job.failures.tries()));
-        }
-        self.record.done.push((id.clone(), ranges));
-        self.done.push((id.clone(), job.recorded.clone()));
-    }
-
-    fn is_empty(&self) -> bool {
-        self.record.machines.is_empty() && self.record.done.is_empty()
-    }
-}
-
-/// Bytes of an entry that shares nothing with others but its machine's line.
-fn entry_bytes(entry: &Entry) -> usize {
-    GROUP_BYTES + entry.task.job.as_str().len() + INDEX_BYTES
-}
-
-/// Bytes of what is recorded of a job.
-fn progress_bytes(job: &Job) -> usize {
-    let names = if job.is_suspected() { 2 } else { 1 };
-    names * (JOB_BYTES + job.spec.id.as_str().len()) + RANGE_BYTES * job.recorded.ranges().count()
-}
-
-/// Bytes of a machine's line without its tasks.
-fn line_bytes(machine: &Machine) -> usize {
-    let names = [
-        machine.id.as_str(),
-        machine.machine_type.as_str(),
-        machine.zone.as_str(),
-    ];
-    LINE_BYTES + names.iter().map(|name| name.len()).sum::<usize>()
-}
-
 /// Adds the entries of a machine that wait to be recorded, as far as there is room.
 fn draft_entries(
     draft: &mut Draft,
