--- a/crates/controller/tests/loopback/controller.rs
+++ b/crates/controller/tests/loopback/controller.rs
@@ -138,6 +138,11 @@
         assert!(status.success());
     }
 
+    /// The process's id.
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Bytes of memory that the process holds.
     pub fn memory(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
--- /dev/null
+++ b/crates/controller/tests/loopback/costs.rs
@@ -0,0 +1,194 @@
+//! What the controllers take from their machines under an ordinary load: processor time by thread, wake-ups
+//! and memory. It is measured, not judged, so it is run by hand; `docs/measuring.md` has the command.
+
+use crate::controller::{start_all, Controller, Deployment};
+use crate::history::History;
+use crate::stand_ins::Outside;
+use crate::workers::Shared;
+use rudderreel_wire::job::JobSpec;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use ureq::Agent;
+
+const CONTROLLERS: usize = 5;
+/// Machines; their workers report twice a second, so this is the load of five times as many that report
+/// every 2.5 s.
+const MACHINES: usize = 125;
+/// Jobs that fill the machines, one task each, and that users ask about.
+const JOBS: usize = 250;
+/// Pause between two questions of the users.
+const QUESTION_PAUSE: Duration = Duration::from_millis(20);
+/// Until machines and tasks are up, and how long is measured.
+const WARM_UP: Duration = Duration::from_secs(20);
+const MEASURED: Duration = Duration::from_secs(20);
+
+/// Processor time and wake-ups of one thread, or of all threads of a name.
+#[derive(Clone, Copy, Default)]
+struct Usage {
+    threads: u64,
+    /// Nanoseconds on a processor.
+    processor_ns: u64,
+    /// Times that it waited for something.
+    waits: u64,
+}
+
+impl Usage {
+    fn add(&mut self, other: Usage) {
+        self.threads += other.threads;
+        self.processor_ns += other.processor_ns;
+        self.waits += other.waits;
+    }
+
+    fn since(self, before: Usage) -> Self {
+        Self {
+            threads: self.threads,
+            processor_ns: self.processor_ns.saturating_sub(before.processor_ns),
+            waits: self.waits.saturating_sub(before.waits),
+        }
+    }
+}
+
+/// The name of a thread without its number.
+fn kind_of(name: &str) -> String {
+    name.trim_end()
+        .trim_end_matches(|c: char| c == '-' || c.is_ascii_digit())
+        .to_string()
+}
+
+/// By kind of thread, what a process has used so far.
+fn usage(process: u32) -> BTreeMap<String, Usage> {
+    let mut kinds: BTreeMap<String, Usage> = BTreeMap::new();
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task")).expect("its threads");
+    for task in tasks.flatten() {
+        let read = |file: &str| std::fs::read_to_string(task.path().join(file)).unwrap_or_default();
+        let kind = kind_of(&read("comm"));
+        let first = |text: &str| text.split_whitespace().next().and_then(|n| n.parse().ok());
+        let status = read("status");
+        let waits = (status.lines()).find_map(|line| line.strip_prefix("voluntary_ctxt_switches:"));
+        kinds.entry(kind).or_default().add(Usage {
+            threads: 1,
+            processor_ns: first(&read("schedstat")).unwrap_or(0),
+            waits: waits.and_then(first).unwrap_or(0),
+        });
+    }
+    kinds
+}
+
+fn spec(n: usize) -> JobSpec {
+    let value = serde_json::json!({
+        "id": format!("wk-{n:06}"), "reel": "sweep", "crew": "red", "rig": "sweep", "precedence": "normal",
+        "takes": 1, "vcpus": 2.0, "gpus": 0.0, "memoryGb": 0.5, "pressing": "img-0", "pullGb": 0.1,
+        "hulls": null, "berth": null, "together": false, "scatter": false, "driftwood": true,
+        "expectedS": 600.0, "snapshotS": 0.0, "stowS": 0.0, "dueS": null});
+    serde_json::from_value(value).expect("a job")
+}
+
+/// Submits all jobs, and then asks about one after the other until it is over.
+fn submit_and_ask(fronts: &[SocketAddr], specs: &[JobSpec], over: &AtomicBool) {
+    let agent: Agent = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(2)))
+        .build()
+        .into();
+    for (n, spec) in specs.iter().enumerate() {
+        let text = serde_json::to_string(spec).expect("JSON");
+        let accepted = |at: usize| {
+            let url = format!("http://{}/v1/jobs", fronts[at % fronts.len()]);
+            let status = agent
+                .post(&url)
+                .send(text.as_bytes())
+                .map(|r| r.status().as_u16());
+            matches!(status, Ok(200 | 201))
+        };
+        let mut at = n;
+        while !accepted(at) {
+            at += 1;
+            std::thread::sleep(QUESTION_PAUSE);
+        }
+    }
+    for (n, spec) in specs.iter().enumerate().cycle() {
+        if over.load(Ordering::Relaxed) {
+            return;
+        }
+        let front = fronts[n % fronts.len()];
+        let answer = agent
+            .get(format!("http://{front}/v1/jobs/{}", spec.id))
+            .call();
+        if let Ok(mut response) = answer {
+            let _ = response.body_mut().read_to_string();
+        }
+        std::thread::sleep(QUESTION_PAUSE);
+    }
+}
+
+fn print(controller: &Controller, leads: bool, before: &BTreeMap<String, Usage>, took: Duration) {
+    let role = if leads { "leads" } else { "follows" };
+    let memory = controller.memory().unwrap_or(0) as f64 / f64::from(1 << 20);
+    let mut total = Usage::default();
+    let mut lines = Vec::new();
+    for (kind, now) in usage(controller.process_id()) {
+        let used = now.since(before.get(&kind).copied().unwrap_or_default());
+        total.add(used);
+        lines.push((kind, used));
+    }
+    lines.push(("in all".to_string(), total));
+    println!("== {} {role}, {memory:.1} MiB", controller.name);
+    for (kind, used) in lines {
+        let per_s = |n: u64| n as f64 / took.as_secs_f64();
+        println!(
+            "{kind:16} {:4} threads {:8.3} ms/s {:8.1} waits/s",
+            used.threads,
+            per_s(used.processor_ns) / 1e6,
+            per_s(used.waits)
+        );
+    }
+}
+
+/// `cargo test --release -p rudderreel --test loopback what_an_ordinary_load_costs -- --ignored --nocapture`
+#[test]
+#[ignore = "measures"]
+fn what_an_ordinary_load_costs() {
+    let specs: Vec<JobSpec> = (0..JOBS).map(spec).collect();
+    let shared = Arc::new(Shared {
+        history: History::default(),
+        jobs: Mutex::new(specs.iter().map(|s| (s.id.clone(), s.clone())).collect()),
+        controllers: Mutex::default(),
+        run: Duration::from_secs(600),
+    });
+    let outside = Outside::start(CONTROLLERS, MACHINES, shared.clone());
+    let deployment = Deployment {
+        controllers: CONTROLLERS,
+        sockets: 1_800,
+        teams: vec![("red", 1_000.0)],
+    };
+    let controllers = start_all(&deployment, &outside);
+    let fronts: Vec<SocketAddr> = controllers.iter().map(|c| c.front).collect();
+    *shared.controllers.lock().expect("controllers") = controllers
+        .iter()
+        .map(|c| (c.name.clone(), c.front))
+        .collect();
+    let over = Arc::new(AtomicBool::new(false));
+    let user = {
+        let (over, specs) = (over.clone(), specs.clone());
+        std::thread::spawn(move || submit_and_ask(&fronts, &specs, &over))
+    };
+    std::thread::sleep(WARM_UP);
+    let before: Vec<_> = controllers.iter().map(|c| usage(c.process_id())).collect();
+    let begun = Instant::now();
+    let ids: Vec<u32> = controllers.iter().map(Controller::process_id).collect();
+    println!(
+        "measured: processes {ids:?}, the leader is {:?}",
+        outside.leader()
+    );
+    std::thread::sleep(MEASURED);
+    let took = begun.elapsed();
+    for (controller, before) in controllers.iter().zip(&before) {
+        let leads = outside.leader().as_ref() == Some(&controller.name);
+        print(controller, leads, before, took);
+    }
+    over.store(true, Ordering::Relaxed);
+    user.join().expect("the user ends");
+}
--- a/crates/controller/tests/loopback/main.rs
+++ b/crates/controller/tests/loopback/main.rs
@@ -1,6 +1,7 @@
 //! Real controllers on loopback, with stand-ins for the services outside.
 
 mod controller;
+mod costs;
 mod fleet;
 mod history;
 mod stand_ins;
