HTTP client: addresses are not looked up on threads, buffers of 8 KiB

Cause: ureq's default resolver begins a thread for every call with a time limit, even for an IP address (18 a second at a follower, some 15 system calls each); two buffers of 128 KiB a connection, with up to 128 idle connections to workers at a leader, and each compared with all others at every call. Ruled out: arenas of the allocator (MALLOC_ARENA_MAX=1: 29 MiB instead of 30 on loopback). Change: a resolver that parses the address, buffers of 8 KiB, 8 idle connections for workers' calls.

--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -11,9 +11,12 @@
 use rudderreel_wire::worker::DirectCommands;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddrV4;
-use std::time::Duration;
 use ureq::Agent;
 
+mod agent;
+
+pub use agent::{agent, CallLimits};
+
 /// Keys asked for in one page, and fewer each time that the answer is too long to be read.
 const PAGES: [u32; 3] = [200, 20, 1];
 /// The longest answer that is read. By the protocol a page has 512 KiB at most. A watch's answer has no
@@ -22,20 +25,6 @@
 /// Watches wait so long for a change.
 const WATCH_MS: u64 = 10_000;
 
-/// An HTTP client with limits for connecting and for the whole call.
-pub fn agent(connect_ms: u64, whole_ms: u64) -> Agent {
-    Agent::config_builder()
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_connect(Some(Duration::from_millis(connect_ms)))
-        .timeout_global(Some(Duration::from_millis(whole_ms)))
-        .max_idle_connections(64)
-        .max_idle_connections_per_host(8)
-        .build()
-        .into()
-}
-
 /// What came back, if anything usable did.
 enum Reply {
     Status(u16, Vec<u8>),
@@ -302,12 +291,12 @@
 
 /// Reads from the administration API.
 pub fn admin_get(url: &str) -> AdminReply {
-    admin_reply(get(&agent(2_000, 10_000), url))
+    admin_reply(get(&agent(CallLimits::of_service(2_000, 10_000)), url))
 }
 
 /// Changes something through the administration API.
 pub fn admin_put(url: &str, body: &[u8]) -> AdminReply {
-    let request = agent(2_000, 10_000).put(url);
+    let request = agent(CallLimits::of_service(2_000, 10_000)).put(url);
     admin_reply(finish(
         request
             .header("Content-Type", "application/json")
--- a/crates/controller/src/clients/tests.rs
+++ b/crates/controller/src/clients/tests.rs
@@ -58,7 +58,7 @@
             Some(Answer::json(200, text.into_bytes()))
         });
     });
-    let agent = agent(2_000, 20_000);
+    let agent = agent(CallLimits::of_service(2_000, 20_000));
     let call = StateCall::List("pub/".into(), None);
     match call_state(&agent, addr, &call) {
         StateAnswer::Page(page) => assert!(page.more && page.revision == Version(7)),
--- a/crates/controller/src/outgoing.rs
+++ b/crates/controller/src/outgoing.rs
@@ -2,7 +2,7 @@
 //! bounded queues. A call that finds its queue full is answered as not made, so that the core never waits
 //! for an answer that can't come.
 
-use crate::clients::{self, Watched};
+use crate::clients::{self, CallLimits, Watched};
 use crate::clock::Clock;
 use crate::front::Open;
 use crate::inputs::InputQueues;
@@ -36,6 +36,8 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a watch that got no answer.
 const WATCH_RETRY: Duration = Duration::from_millis(300);
+/// Connections to workers that are kept for later calls: the same worker is mostly called again soon or not.
+const IDLE_WORKERS: usize = 8;
 /// Stack of a thread.
 const STACK: usize = 128 * 1024;
 
@@ -248,7 +250,7 @@
     clock: Clock,
     core: &Sender<Input>,
 ) -> Result<Sender<(CallId, StateCall)>, String> {
-    let agent = clients::agent(400, 1_200);
+    let agent = clients::agent(CallLimits::of_service(400, 1_200));
     start_threads(name, threads, CALLS, core, move |(id, call)| {
         let sent = clock.time();
         let answer = clients::call_state(&agent, addr, &call);
@@ -261,7 +263,7 @@
     let rate = settings.params.state.rps * WATCH_PART / f64::from(settings.params.nodes.max(1));
     let pause = Duration::from_secs_f64(1.0 / rate.max(0.1)).min(WATCH_PAUSE);
     let (starts, queue) = bounded::<Version>(4);
-    let agent = clients::agent(400, 12_000);
+    let agent = clients::agent(CallLimits::of_service(400, 12_000));
     let core = core.clone();
     spawn("watch", move || {
         for mut after in queue {
@@ -287,7 +289,7 @@
     addr: SocketAddrV4,
     core: &Sender<Input>,
 ) -> Result<Sender<(CallId, CloudCall)>, String> {
-    let agent = clients::agent(1_000, 4_000);
+    let agent = clients::agent(CallLimits::of_service(1_000, 4_000));
     start_threads("cloud", CLOUD_THREADS, CALLS, core, move |(id, call)| {
         Some(Input::Cloud(id, clients::call_cloud(&agent, addr, &call)))
     })
@@ -299,7 +301,10 @@
     waiting: usize,
     core: &Sender<Input>,
 ) -> Result<Sender<WorkerCall>, String> {
-    let agent = clients::agent(400, 1_000);
+    let agent = clients::agent(CallLimits {
+        idle: IDLE_WORKERS,
+        ..CallLimits::of_service(400, 1_000)
+    });
     start_threads(name, threads, waiting, core, move |call: WorkerCall| {
         let outcome = clients::call_worker(&agent, &call.addr, &call.body);
         Some(Input::Direct(call.machine, call.body, outcome))
@@ -313,7 +318,7 @@
     threads: usize,
     waiting: usize,
 ) -> Result<Sender<PeerMessage>, String> {
-    let agent = clients::agent(300, 1_000);
+    let agent = clients::agent(CallLimits::of_service(300, 1_000));
     start_threads("peer", threads, waiting, core, move |message| {
         Some(match message {
             PeerMessage::Heartbeat(beat) => {
