A node that is behind answers before it decides, names a higher load, makes way

A leader short of processor time decided cycle after cycle (70 ms each at 3.2% of a core) while reports waited; peers gave batches up after 1 s and workers came again, which held it up for longer; at a third of its speed it kept the lead for 10 s. What was missing was the measure: a process that has used up its share is woken late, and its queues look short. Change: pauses in proportion to long steps; intervals by core_share (as before from 6.4% on); waits of inputs and late ticks are measured; while behind one cycle a period and only urgent direct calls; requests whose sender has given up are refused unread; the load that heartbeats name rises; a leader far behind for 3 s makes way, but not within a minute of winning; one write a log line. core_share and memory_mb are checked at start.

--- a/crates/controller/src/front/tests.rs
+++ b/crates/controller/src/front/tests.rs
@@ -1,10 +1,11 @@
 use super::*;
-use crossbeam_channel::{bounded, Receiver};
+use crate::inputs::{queue, Queued};
+use crossbeam_channel::Receiver;
 use rudderreel_wire::ids::{Epoch, Version};
 
 /// Queues with room for four inputs each.
-fn queues() -> (InputQueues, [Receiver<Input>; 3]) {
-    let [(control, a), (users, b), (reports, c)] = [(); 3].map(|()| bounded(4));
+fn queues() -> (InputQueues, [Receiver<Queued>; 3]) {
+    let [(control, a), (users, b), (reports, c)] = [(); 3].map(|()| queue(4));
     let queues = InputQueues {
         control,
         users,
@@ -57,7 +58,7 @@
     assert!(waiting.iter().all(Receiver::is_empty));
     assert_eq!(ask(&core, "POST", "/peer/announce", Some(&good)), None);
     assert!(matches!(
-        waiting[0].try_recv(),
+        waiting[0].try_recv().map(|queued| queued.input),
         Ok(Input::Announced(ReqId(1), _))
     ));
 }
@@ -76,7 +77,10 @@
     assert_eq!(forward(&Forward::Admin("/admin/nothing".into())), Some(400));
     assert!(waiting.iter().all(Receiver::is_empty));
     assert_eq!(forward(&Forward::Status("wk-000001".into())), None);
-    assert!(matches!(waiting[1].try_recv(), Ok(Input::Forwarded(..))));
+    assert!(matches!(
+        waiting[1].try_recv().map(|queued| queued.input),
+        Ok(Input::Forwarded(..))
+    ));
 }
 
 /// When the core is too far behind, whoever asks is told so at once.
--- a/crates/controller/src/inputs.rs
+++ b/crates/controller/src/inputs.rs
@@ -5,9 +5,9 @@
 //! thousand at once, and take turns. Whatever finds its queue full is refused at once; answers to own
 //! calls wait for room.
 
-use crossbeam_channel::{bounded, select, Receiver, Sender, TrySendError};
-use rudderreel_core::Input;
-use std::time::Duration;
+use crossbeam_channel::{bounded, select, Receiver, Sender};
+use rudderreel_core::{Input, ReqId, UserRequest};
+use std::time::{Duration, Instant};
 
 /// Inputs of peers and answers that may wait: there are few peers, and own calls are bounded.
 const CONTROL: usize = 1_024;
@@ -16,15 +16,63 @@
 /// Of so many inputs, taken in a rush, two are control inputs, one is a user's and one a report.
 const TURNS: u32 = 4;
 
+/// A worker waits 4 s for the answer to its report, a user 2 s for that to a question, and a peer as long as
+/// this for that to a batch of reports. Whoever has gone asks again: an answer to the first request is work
+/// for nobody, and the more of it there is the fewer are answered in time.
+const WORKER_WAITS: Duration = Duration::from_millis(3_500);
+const USER_WAITS: Duration = Duration::from_millis(2_000);
+/// How long a node waits for the leader's answer to a batch of reports, in milliseconds.
+pub const BATCH_WAITS_MS: u64 = 1_800;
+
+/// An input, and since when it waits.
+pub struct Queued {
+    since: Instant,
+    /// The input.
+    pub input: Input,
+}
+
+/// A queue with room for so many inputs.
+pub fn queue(room: usize) -> (InputSender, Receiver<Queued>) {
+    let (sender, inputs) = bounded(room);
+    (InputSender(sender), inputs)
+}
+
+/// Where inputs of one queue are handed over.
+#[derive(Clone)]
+pub struct InputSender(Sender<Queued>);
+
+impl InputSender {
+    /// Hands an input over, once there is room.
+    pub fn send(&self, input: Input) -> Result<(), CoreGone> {
+        self.0.send(queued(input)).map_err(|_| CoreGone)
+    }
+
+    /// Hands an input over without waiting.
+    fn offer(&self, input: Input) -> Result<(), QueueFull> {
+        self.0.try_send(queued(input)).map_err(|_| QueueFull)
+    }
+}
+
+fn queued(input: Input) -> Queued {
+    Queued {
+        since: Instant::now(),
+        input,
+    }
+}
+
+/// That nobody takes inputs any more.
+#[derive(Debug, PartialEq, Eq)]
+pub struct CoreGone;
+
 /// Where inputs are handed over.
 #[derive(Clone)]
 pub struct InputQueues {
     /// What keeps the node in touch: heartbeats, announcements, answers to own calls, health checks.
-    pub control: Sender<Input>,
+    pub control: InputSender,
     /// Requests of users and administrators.
-    pub users: Sender<Input>,
+    pub users: InputSender,
     /// Reports of workers, and batches of them.
-    pub reports: Sender<Input>,
+    pub reports: InputSender,
 }
 
 /// That the queue is full, or the core gone.
@@ -61,25 +109,51 @@
             Queue::Users => &self.users,
             Queue::Reports => &self.reports,
         };
-        queue.try_send(input).map_err(|e| match e {
-            TrySendError::Full(_) | TrySendError::Disconnected(_) => QueueFull,
-        })
+        queue.offer(input)
+    }
+}
+
+/// An input that is the core's next.
+pub struct Arrived {
+    /// The input.
+    pub input: Input,
+    /// How long it has waited.
+    pub waited: Duration,
+}
+
+impl Arrived {
+    fn of(queued: Queued) -> Self {
+        Self {
+            waited: queued.since.elapsed(),
+            input: queued.input,
+        }
+    }
+
+    /// The request whose sender no longer waits for its answer, if that is so.
+    pub fn given_up(&self) -> Option<ReqId> {
+        let (request, sender_waits) = match &self.input {
+            Input::Report(request, _) => (*request, WORKER_WAITS),
+            Input::Reports(request, _) => (*request, Duration::from_millis(BATCH_WAITS_MS)),
+            Input::User(request, UserRequest::Status(_)) => (*request, USER_WAITS),
+            _ => return None,
+        };
+        (self.waited > sender_waits).then_some(request)
     }
 }
 
 /// What waits for the core.
 pub struct Inputs {
-    control: Receiver<Input>,
-    users: Receiver<Input>,
-    reports: Receiver<Input>,
+    control: Receiver<Queued>,
+    users: Receiver<Queued>,
+    reports: Receiver<Queued>,
     turn: u32,
 }
 
 /// The queues, with room for so many reports.
 pub fn queues(reports: usize) -> (InputQueues, Inputs) {
-    let (control, control_inputs) = bounded(CONTROL);
-    let (users, user_inputs) = bounded(USERS);
-    let (reports, report_inputs) = bounded(reports);
+    let (control, control_inputs) = queue(CONTROL);
+    let (users, user_inputs) = queue(USERS);
+    let (reports, report_inputs) = queue(reports);
     let senders = InputQueues {
         control,
         users,
@@ -96,20 +170,22 @@
 
 impl Inputs {
     /// The next input, if one comes in time.
-    pub fn next(&mut self, wait: Duration) -> Option<Input> {
-        if let Some(input) = self.waiting() {
-            return Some(input);
-        }
+    pub fn next(&mut self, wait: Duration) -> Option<Arrived> {
+        let queued = self.waiting().or_else(|| self.wait_for_one(wait));
+        queued.map(Arrived::of)
+    }
+
+    fn wait_for_one(&self, wait: Duration) -> Option<Queued> {
         select! {
-            recv(self.control) -> input => input.ok(),
-            recv(self.users) -> input => input.ok(),
-            recv(self.reports) -> input => input.ok(),
+            recv(self.control) -> queued => queued.ok(),
+            recv(self.users) -> queued => queued.ok(),
+            recv(self.reports) -> queued => queued.ok(),
             default(wait) => None,
         }
     }
 
     /// The input whose turn it is, if any waits.
-    fn waiting(&mut self) -> Option<Input> {
+    fn waiting(&mut self) -> Option<Queued> {
         self.turn = (self.turn + 1) % TURNS;
         let (control, users, reports) = (&self.control, &self.users, &self.reports);
         let order = match self.turn {
--- a/crates/controller/src/logs.rs
+++ b/crates/controller/src/logs.rs
@@ -1,6 +1,7 @@
 //! Logs to standard error, one line each, in the amount that `LOG_LEVEL` gives.
 
 use log::{LevelFilter, Log, Metadata, Record};
+use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 struct Lines;
@@ -16,14 +17,16 @@
                 .duration_since(UNIX_EPOCH)
                 .unwrap_or_default();
             let target = record.target().trim_start_matches("rudderreel_core::");
-            eprintln!(
-                "{}.{:03} {} {}: {}",
+            // Standard error has no buffer: formatted into it, a line would be a system call for each part.
+            let line = format!(
+                "{}.{:03} {} {}: {}\n",
                 now.as_secs(),
                 now.subsec_millis(),
                 record.level(),
                 target,
                 record.args()
             );
+            let _ = std::io::stderr().write_all(line.as_bytes());
         }
     }
 
--- a/crates/controller/src/outgoing.rs
+++ b/crates/controller/src/outgoing.rs
@@ -5,7 +5,7 @@
 use crate::clients::{self, CallLimits, Watched};
 use crate::clock::Clock;
 use crate::front::Open;
-use crate::inputs::InputQueues;
+use crate::inputs::{InputQueues, InputSender, BATCH_WAITS_MS};
 use crate::process_limits::ProcessLimits;
 use crossbeam_channel::{bounded, Sender};
 use rudderreel_core::units::Time;
@@ -38,6 +38,9 @@
 const WATCH_RETRY: Duration = Duration::from_millis(300);
 /// Connections to workers that are kept for later calls: the same worker is mostly called again soon or not.
 const IDLE_WORKERS: usize = 8;
+/// Time limits of calls to peers, in milliseconds.
+const PEER_CONNECT_MS: u64 = 300;
+const PEER_CALL_MS: u64 = 1_000;
 /// Stack of a thread.
 const STACK: usize = 128 * 1024;
 
@@ -56,6 +59,33 @@
     Announce(NodeName, Announcement),
 }
 
+/// How messages of one kind go to a peer.
+#[derive(Clone, Copy)]
+struct PeerCalls {
+    threads: usize,
+    /// Messages that may wait for a thread.
+    waiting: usize,
+    /// How long an answer is waited for.
+    whole_ms: u64,
+}
+
+impl PeerCalls {
+    const HEARTBEATS: Self = Self::of(1, 1, PEER_CALL_MS);
+    const ANNOUNCEMENTS: Self = Self::of(1, 1, PEER_CALL_MS);
+    const FORWARDS: Self = Self::of(2, 32, PEER_CALL_MS);
+    /// A leader that is behind for a moment still answers in time for the workers, who wait for 4 s. Given
+    /// up after a second, the same reports came again, to it or to another node, and held it up for longer.
+    const REPORTS: Self = Self::of(2, 4, BATCH_WAITS_MS);
+
+    const fn of(threads: usize, waiting: usize, whole_ms: u64) -> Self {
+        Self {
+            threads,
+            waiting,
+            whole_ms,
+        }
+    }
+}
+
 /// Queues of messages to one peer.
 struct PeerQueues {
     heartbeats: Sender<PeerMessage>,
@@ -171,6 +201,12 @@
         }
     }
 
+    /// Refuses a request that has waited too long.
+    pub fn refuse_late(&self, request: ReqId) {
+        let body = serde_json::json!({ "error": "it has waited too long" }).to_string();
+        self.open.answer(request, 503, body, Some(1));
+    }
+
     fn direct(&self, machine: MachineId, addr: String, body: DirectCommands) -> Option<Input> {
         let queue = if body.commands.is_empty() {
             &self.probes
@@ -201,10 +237,10 @@
     let mut peers = BTreeMap::new();
     for peer in &settings.peers {
         let queues = PeerQueues {
-            heartbeats: start_peer(peer.addr, clock, core, 1, 1)?,
-            forwards: start_peer(peer.addr, clock, core, 2, 32)?,
-            reports: start_peer(peer.addr, clock, core, 2, 4)?,
-            announcements: start_peer(peer.addr, clock, core, 1, 1)?,
+            heartbeats: start_peer(peer.addr, clock, core, PeerCalls::HEARTBEATS)?,
+            forwards: start_peer(peer.addr, clock, core, PeerCalls::FORWARDS)?,
+            reports: start_peer(peer.addr, clock, core, PeerCalls::REPORTS)?,
+            announcements: start_peer(peer.addr, clock, core, PeerCalls::ANNOUNCEMENTS)?,
         };
         peers.insert(peer.node.clone(), queues);
     }
@@ -226,7 +262,7 @@
     name: &str,
     threads: usize,
     waiting: usize,
-    core: &Sender<Input>,
+    core: &InputSender,
     call: impl Fn(T) -> Option<Input> + Clone + Send + 'static,
 ) -> Result<Sender<T>, String> {
     let (sender, queue) = bounded::<T>(waiting);
@@ -248,7 +284,7 @@
     threads: usize,
     addr: SocketAddrV4,
     clock: Clock,
-    core: &Sender<Input>,
+    core: &InputSender,
 ) -> Result<Sender<(CallId, StateCall)>, String> {
     let agent = clients::agent(CallLimits::of_service(400, 1_200));
     start_threads(name, threads, CALLS, core, move |(id, call)| {
@@ -258,7 +294,7 @@
     })
 }
 
-fn start_watch(settings: &Settings, core: &Sender<Input>) -> Result<Sender<Version>, String> {
+fn start_watch(settings: &Settings, core: &InputSender) -> Result<Sender<Version>, String> {
     let addr = settings.services.state;
     let rate = settings.params.state.rps * WATCH_PART / f64::from(settings.params.nodes.max(1));
     let pause = Duration::from_secs_f64(1.0 / rate.max(0.1)).min(WATCH_PAUSE);
@@ -287,7 +323,7 @@
 
 fn start_cloud(
     addr: SocketAddrV4,
-    core: &Sender<Input>,
+    core: &InputSender,
 ) -> Result<Sender<(CallId, CloudCall)>, String> {
     let agent = clients::agent(CallLimits::of_service(1_000, 4_000));
     start_threads("cloud", CLOUD_THREADS, CALLS, core, move |(id, call)| {
@@ -299,7 +335,7 @@
     name: &str,
     threads: usize,
     waiting: usize,
-    core: &Sender<Input>,
+    core: &InputSender,
 ) -> Result<Sender<WorkerCall>, String> {
     let agent = clients::agent(CallLimits {
         idle: IDLE_WORKERS,
@@ -314,12 +350,11 @@
 fn start_peer(
     addr: SocketAddrV4,
     clock: Clock,
-    core: &Sender<Input>,
-    threads: usize,
-    waiting: usize,
+    core: &InputSender,
+    calls: PeerCalls,
 ) -> Result<Sender<PeerMessage>, String> {
-    let agent = clients::agent(CallLimits::of_service(300, 1_000));
-    start_threads("peer", threads, waiting, core, move |message| {
+    let agent = clients::agent(CallLimits::of_service(PEER_CONNECT_MS, calls.whole_ms));
+    start_threads("peer", calls.threads, calls.waiting, core, move |message| {
         Some(match message {
             PeerMessage::Heartbeat(beat) => {
                 let sent = clock.time();
--- a/crates/controller/src/process_limits.rs
+++ b/crates/controller/src/process_limits.rs
@@ -64,7 +64,8 @@
         None => {
             let sockets = system_limit().unwrap_or(UNLIMITED_SOCKETS);
             let limits = settings.params.limits.get_or_insert(Allowed {
-                memory_mb: 0.0,
+                cpu_share: None,
+                memory_mb: None,
                 fd_limit: 0,
             });
             limits.fd_limit = u32::try_from(sockets).unwrap_or(u32::MAX);
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -6,12 +6,15 @@
 use crate::outgoing::{self, spawn, Outgoing};
 use crate::process_limits;
 use rudderreel_core::units::Span;
-use rudderreel_core::{Core, Input};
+use rudderreel_core::{Core, Input, ProcessorShare};
 use rudderreel_wire::settings::Settings;
 use std::time::{Duration, Instant};
 
-/// How often the core looks at the clock.
-const TICK: Duration = Duration::from_millis(20);
+/// How often the core looks at the clock, on a node that has enough of a processor.
+const TICK: Span = Span(20);
+/// After a tick that took long, other inputs have as much time as it took, but no longer than this: leases
+/// and heartbeats are looked after by ticks.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 /// A step of the core that takes longer is logged, for debugging.
 const SLOW: Span = Span(40);
 
@@ -31,44 +34,54 @@
         front::serve_peers(servers.peers, &queues, &counters)
     })?;
     log::info!("node {} serves at {}", settings.node, settings.listen);
-    run_core(Core::new(settings), inputs, &outgoing, clock);
+    let tick = ProcessorShare::of(&settings).stretched(TICK);
+    let tick = Duration::from_millis(tick.0);
+    run_core(Core::new(settings), inputs, &outgoing, clock, tick);
     Ok(())
 }
 
 /// Hands inputs to the core, and the time, for ever.
-fn run_core(mut core: Core, mut inputs: Inputs, outgoing: &Outgoing, clock: Clock) {
+fn run_core(mut core: Core, mut inputs: Inputs, outgoing: &Outgoing, clock: Clock, tick: Duration) {
     let mut next_tick = Instant::now();
     // Answers to calls that could not be made. A call that is never answered would be waited for
     // for ever.
     let mut not_made: Vec<Input> = Vec::new();
     loop {
         let wait = next_tick.saturating_duration_since(Instant::now());
-        let input = if wait.is_zero() {
-            next_tick = Instant::now() + TICK;
+        if wait.is_zero() {
             for input in std::mem::take(&mut not_made) {
                 not_made.extend(step(&mut core, input, outgoing, clock));
             }
-            Input::Tick
-        } else {
-            match inputs.next(wait) {
-                Some(input) => input,
-                None => continue,
+            let begun = Instant::now();
+            let late = begun.saturating_duration_since(next_tick);
+            // A process that has used up its share is woken late; nothing in its queues shows that.
+            core.note_wait(clock.time(), span_of(late));
+            not_made.extend(step(&mut core, Input::Tick, outgoing, clock));
+            next_tick = Instant::now() + begun.elapsed().clamp(tick, LONGEST_PAUSE);
+        } else if let Some(arrived) = inputs.next(wait) {
+            core.note_wait(clock.time(), span_of(arrived.waited));
+            match arrived.given_up() {
+                Some(request) => outgoing.refuse_late(request),
+                None => not_made.extend(step(&mut core, arrived.input, outgoing, clock)),
             }
-        };
-        not_made.extend(step(&mut core, input, outgoing, clock));
+        }
     }
 }
 
+fn span_of(duration: Duration) -> Span {
+    Span(duration.as_millis() as u64)
+}
+
 /// One step of the core; returns the answers to calls that could not be made.
 fn step(core: &mut Core, input: Input, outgoing: &Outgoing, clock: Clock) -> Vec<Input> {
     let now = clock.now();
     let kind = log::log_enabled!(log::Level::Debug).then(|| std::mem::discriminant(&input));
     let outputs = core.step(input, now);
-    if let Some(kind) = kind {
-        let took = clock.time() - now.time;
-        if took > SLOW {
-            log::debug!("a step took {} ms: {kind:?}", took.0);
-        }
+    let ended = clock.time();
+    let took = ended - now.time;
+    core.step_ended(ended, took);
+    if let Some(kind) = kind.filter(|_| took > SLOW) {
+        log::debug!("a step took {} ms: {kind:?}", took.0);
     }
     let mut not_made = Vec::new();
     for output in outputs {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -1,5 +1,6 @@
 //! The whole of a node's state, and what happens on each input.
 
+use crate::backlog::Backlog;
 use crate::cancellations::Cancellations;
 use crate::capacity::CloudCalls;
 use crate::election::{Election, Step, Verdict, Won};
@@ -7,6 +8,8 @@
 use crate::io::{show, CallId, Input, Output, ReqId, StateAnswer, StateCall, Value};
 use crate::job_cache::JobCache;
 use crate::lead::Lead;
+use crate::pacing::{LongStep, Pacing};
+use crate::processor_share::ProcessorShare;
 use crate::records::{LeaderKey, SHARED};
 use crate::recovery::LeadStep;
 use crate::report_forwarding::ReportForwarding;
@@ -75,6 +78,8 @@
     pub(crate) limits: StoreLimits,
     /// How many workers the nodes' connections suffice for, if that is known.
     fleet_limits: Option<FleetLimits>,
+    /// How often costly things are done.
+    pub(crate) processor_share: ProcessorShare,
     pub(crate) user_requests: UserRequests,
     pub(crate) cancellations: Cancellations,
     pub(crate) lead: Option<Lead>,
@@ -90,6 +95,10 @@
     pub(crate) next_beat: Time,
     pub(crate) beats: u64,
     next_review: Time,
+    /// Keeps looks and cycles to a part of the time.
+    pacing: Pacing,
+    /// Whether this node keeps up.
+    pub(crate) backlog: Backlog,
     pub(crate) last_report: Option<Time>,
     /// Since when workers have reached other nodes all the time.
     pub(crate) reached_others: Option<Time>,
@@ -100,8 +109,6 @@
 const BEAT: Span = Span(500);
 /// How often the leader looks through its machines and jobs.
 const PLACEMENTS: Span = Span(100);
-/// A leader that no worker reaches for so long, while workers reach others, steps down.
-const CUT_OFF: Span = Span(5_000);
 
 /// How many calls a second a node may make to the state service: the leader, which keeps the placement log,
 /// twice as many as others. Each node's watch has a part of its own.
@@ -142,6 +149,7 @@
             election: Election::new(settings.node.clone(), nodes, rank),
             limits: StoreLimits::of(&settings.params.state),
             fleet_limits: FleetLimits::of(&settings),
+            processor_share: ProcessorShare::of(&settings),
             user_requests: UserRequests::default(),
             cancellations: Cancellations::default(),
             lead: None,
@@ -155,6 +163,8 @@
             next_beat: Time(0),
             beats: 0,
             next_review: Time(0),
+            pacing: Pacing::default(),
+            backlog: Backlog::default(),
             last_report: None,
             reached_others: None,
             out: Vec::new(),
@@ -196,10 +206,22 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Tells how long the step took that has just ended, by the steady clock. Without it looks and cycles
+    /// follow one another as if they took no time.
+    pub fn step_ended(&mut self, at: Time, took: Span) {
+        self.pacing.ended(at, took);
+    }
+
+    /// Tells how long the input has waited that comes next. A node that is behind answers before it decides.
+    pub fn note_wait(&mut self, at: Time, waited: Span) {
+        self.backlog.note_wait(at, waited);
+    }
+
     fn tick(&mut self, now: Now) {
         if !self.job_cache.complete && !self.filling && now.time >= self.next_fill {
             self.fill();
         }
+        self.backlog.tick(now.time);
         let mine = self.lead.as_ref().map(|l| l.lease_id);
         let due = self.election.tick(now.time, self.job_cache.seat(), mine);
         self.election_calls(due);
@@ -366,12 +388,16 @@
             return;
         }
         self.read_on(now);
-        self.cut_off(now);
+        self.make_way_if_unfit(now);
         self.note_fence(now.time);
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
-        if lead.ready && now.time >= self.next_review {
+        let behind = self.backlog.is_behind(now.time);
+        let review_is_due =
+            now.time >= self.next_review && self.pacing.may_review(now.time, behind);
+        if lead.ready && review_is_due {
+            self.pacing.begin(LongStep::Review, now.time);
             // Looking through a large fleet takes longer, so it is done less often.
             self.next_review = now.time + Span(PLACEMENTS.0 + lead.machines.len() as u64 / 12);
             lead.note_beyond_connections(self.fleet_limits);
@@ -380,7 +406,10 @@
             lead.drain(now.time);
             lead.empty_retired(now.time);
             lead.expire(now);
-            if lead.lease_valid(now.time) && now.time >= lead.next_cycle {
+            let cycle_is_due =
+                now.time >= lead.next_cycle && self.pacing.may_cycle(now.time, behind);
+            if lead.lease_valid(now.time) && cycle_is_due {
+                self.pacing.begin(LongStep::Cycle, now.time);
                 lead.next_cycle = now.time + lead.period;
                 lead.cycle(now);
             }
@@ -426,30 +455,4 @@
         }
         self.refresh_dependencies(&changed, now);
     }
-
-    /// A leader that no worker reaches makes way for one that they do reach.
-    fn cut_off(&mut self, now: Now) {
-        let Some(lead) = &self.lead else {
-            return;
-        };
-        let silence = |t: Time| now.time - t > CUT_OFF;
-        // In a large fleet, hardly any worker may have been sent here: then calls must fail, too.
-        let unreached =
-            !self.is_spread(lead.machines.len() as u32) || lead.reaches_nobody(now.time);
-        let mine = silence(lead.since) && self.last_report.is_none_or(silence) && unreached;
-        let reached = self.peers.values().any(|p| {
-            now.time < p.heard + Span(1_500) && p.worker_silence < Span(2_000) && p.state_ok
-        });
-        // The first workers to come up may just have found another node first.
-        if !reached {
-            self.reached_others = None;
-        } else if self.reached_others.is_none() {
-            self.reached_others = Some(now.time);
-        }
-        let long = self.reached_others.is_some_and(silence);
-        if mine && long && !lead.machines.is_empty() {
-            self.election.hold_off = now.time + Span(15_000);
-            self.step_down("workers do not reach this node");
-        }
-    }
 }
--- a/crates/core/src/fleet_limits/tests.rs
+++ b/crates/core/src/fleet_limits/tests.rs
@@ -5,7 +5,8 @@
 fn with_sockets(fd_limit: u32) -> Option<FleetLimits> {
     let mut settings = settings();
     settings.params.limits = Some(ProcessLimits {
-        memory_mb: 258.0,
+        cpu_share: None,
+        memory_mb: Some(258.0),
         fd_limit,
     });
     FleetLimits::of(&settings)
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -6,6 +6,7 @@
 use crate::job::Job;
 use crate::placement_log::PlacementLog;
 use crate::placement_tracking::Machine;
+use crate::processor_share::ProcessorShare;
 use crate::records::LeaderKey;
 use crate::reports::DIRECT_RATE;
 use crate::store_limits::StoreLimits;
@@ -126,6 +127,8 @@
     pub(crate) lit: BTreeMap<Zone, Time>,
     /// Until when machines are in doubt that have not missed a report yet.
     pub(crate) suspicion: Time,
+    /// How often costly things are done.
+    pub(crate) processor_share: ProcessorShare,
     /// Tells starts apart.
     attempts: u64,
 }
@@ -209,6 +212,7 @@
             dark_before: BTreeMap::new(),
             lit: BTreeMap::new(),
             suspicion: now,
+            processor_share: ProcessorShare::of(settings),
             attempts: 0,
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod actions;
 mod admin;
 mod anticipation;
+mod backlog;
 mod cancellations;
 mod fault_attribution;
 mod placement_log;
@@ -23,9 +24,12 @@
 mod job;
 mod job_cache;
 mod lead;
+mod make_way;
 mod members;
+mod pacing;
 mod pipelines;
 mod placement_tracking;
+mod processor_share;
 mod records;
 mod recovery;
 mod report_forwarding;
@@ -53,3 +57,4 @@
     CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
     UserRequest, Value,
 };
+pub use processor_share::ProcessorShare;
--- /dev/null
+++ b/crates/core/src/make_way.rs
@@ -0,0 +1,78 @@
+//! A leader that can't do its work makes way for one that can, before its lease runs out.
+//!
+//! Making way is a planned hand-over: the lease is ended, so that another node can win at once, and this one
+//! holds off for a while.
+
+use crate::core::Core;
+use crate::lead::Lead;
+use crate::units::{Now, Span, Time};
+
+/// A leader that no worker reaches for so long, while workers reach others, makes way.
+const CUT_OFF: Span = Span(5_000);
+/// So does one that has been far behind for so long: its workers have leases of several times that.
+const FAR_BEHIND: Span = Span(3_000);
+/// But not before it has led for so long. After a take-over all workers come at once, and where all nodes are
+/// slow the next leader would be no better: they would lead by turns, and read the state back each time.
+const LED_LONG: Span = Span(60_000);
+/// A node that made way does not campaign for so long.
+const HOLD_OFF: Span = Span(15_000);
+/// A peer is near if it was heard so lately.
+const NEAR: Span = Span(1_500);
+/// Workers reach a node if one did so lately.
+const REACHED: Span = Span(2_000);
+
+impl Core {
+    /// Makes way if this leader can't do its work and another node probably can.
+    pub(crate) fn make_way_if_unfit(&mut self, now: Now) {
+        let Some(why) = self.unfit_because(now.time) else {
+            return;
+        };
+        self.election.hold_off = now.time + HOLD_OFF;
+        self.step_down(why);
+    }
+
+    fn unfit_because(&mut self, now: Time) -> Option<&'static str> {
+        if self.is_cut_off(now) {
+            return Some("workers do not reach this node");
+        }
+        let lead = self.lead.as_ref()?;
+        let slow = self.backlog.far_behind_for(now) >= FAR_BEHIND;
+        let led_long = now - lead.since >= LED_LONG;
+        (slow && led_long && self.has_fit_peer(now)).then_some("it can't keep up")
+    }
+
+    /// Whether some peer could lead: it was heard lately and the state service answers it.
+    fn has_fit_peer(&self, now: Time) -> bool {
+        (self.peers.values()).any(|peer| now < peer.heard + NEAR && peer.state_ok)
+    }
+
+    /// Whether no worker reaches this leader while they reach others.
+    fn is_cut_off(&mut self, now: Time) -> bool {
+        let reached = self
+            .peers
+            .values()
+            .any(|peer| now < peer.heard + NEAR && peer.worker_silence < REACHED && peer.state_ok);
+        // The first workers to come up may just have found another node first.
+        if !reached {
+            self.reached_others = None;
+        } else if self.reached_others.is_none() {
+            self.reached_others = Some(now);
+        }
+        let silence = |since: Time| now - since > CUT_OFF;
+        let others_long = self.reached_others.is_some_and(silence);
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        let heard_nobody = silence(lead.since) && self.last_report.is_none_or(silence);
+        let has_machines = !lead.machines.is_empty();
+        others_long && heard_nobody && has_machines && self.is_unreached(lead, now)
+    }
+
+    /// In a large fleet, hardly any worker may have been sent here: then calls must fail, too.
+    fn is_unreached(&self, lead: &Lead, now: Time) -> bool {
+        !self.is_spread(lead.machines.len() as u32) || lead.reaches_nobody(now)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -37,6 +37,7 @@
         if let Some(counts) = &counts {
             self.learn_counts(counts);
         }
+        let load = self.load(now.time);
         self.out.push(Output::Heartbeat(Heartbeat {
             from: self.settings.node.to_string(),
             epoch: self.lead.as_ref().map_or(self.election.epoch, |l| l.epoch),
@@ -44,7 +45,7 @@
             state_ok: self.election.state_ok(now.time),
             asks_word: self.lead.is_some() || self.election.would_care(now.time),
             machines: self.lead.as_ref().map_or(0, Lead::fleet_size),
-            workers: self.forwarding.workers(now.time, self.report_interval()),
+            workers: load,
             passes: self.lead.is_some() || self.near_leader(now.time).is_some(),
             worker_silence_ms: self.worker_silence(now.time).0,
             dark: (self.lead.iter().flat_map(|l| &l.dark))
--- /dev/null
+++ b/crates/core/src/processor_share/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+use crate::testing::settings;
+use rudderreel_wire::settings::ProcessLimits;
+
+fn with_share(cpu_share: Option<f64>) -> ProcessorShare {
+    let mut settings = settings();
+    settings.params.limits = Some(ProcessLimits {
+        cpu_share,
+        memory_mb: None,
+        fd_limit: 0,
+    });
+    ProcessorShare::of(&settings)
+}
+
+/// What runs well on larger nodes stays as it is there.
+#[test]
+fn intervals_hold_on_nodes_that_have_enough() {
+    for share in [None, Some(0.064), Some(0.21), Some(64.0)] {
+        assert_eq!(with_share(share).stretched(Span(80)), Span(80), "{share:?}");
+        assert_eq!(with_share(share).slowed(50.0), 50.0, "{share:?}");
+    }
+    assert_eq!(ProcessorShare::of(&settings()), with_share(None));
+}
+
+/// Half of the processor is left with half of the messages.
+#[test]
+fn a_node_with_less_does_things_less_often() {
+    let half = with_share(Some(0.032));
+    assert_eq!(half.stretched(Span(80)), Span(160));
+    assert_eq!(half.slowed(50.0), 25.0);
+    let tiny = with_share(Some(0.000_1));
+    assert_eq!(tiny.stretched(Span(80)), Span(320));
+}
--- a/crates/core/src/report_forwarding.rs
+++ b/crates/core/src/report_forwarding.rs
@@ -20,7 +20,7 @@
 use rudderreel_wire::worker::{Report, ReportElsewhere, ReportReply, TaskReport};
 use std::collections::BTreeMap;
 
-/// How long reports are collected before they are passed on.
+/// How long reports are collected before they are passed on, on a node that has enough of a processor.
 const GATHER: Span = Span(80);
 /// Batches that may be on their way at once.
 const OPEN: usize = 3;
@@ -217,11 +217,19 @@
         (next.and_then(|n| self.peers.get(n))).is_some_and(|p| now > p.heard + SILENT)
     }
 
+    /// How many workers report here, for the peers, which send workers where there are fewer. More are named
+    /// if this node can't keep up with those it has.
+    pub(crate) fn load(&mut self, now: Time) -> u32 {
+        let report = self.report_interval();
+        let workers = self.forwarding.workers(now, report);
+        self.backlog.load_of(workers)
+    }
+
     /// A node that a worker should rather report to, since it has far fewer of them.
     pub(crate) fn lighter(&mut self, machine: &MachineId, now: Time) -> Option<NodeName> {
         let known = self.forwarding.workers.contains_key(machine);
         let report = self.report_interval();
-        let mine = self.forwarding.workers(now, report) + u32::from(!known);
+        let mine = self.load(now) + u32::from(!known);
         let weight = |leads: bool, name: &NodeName| {
             let lead = if leads { LEADER_WEIGHT } else { 1 };
             let last = if self.next_is_silent(name, now) {
@@ -273,10 +281,8 @@
 
     /// Passes on what has been collected.
     pub(crate) fn forwarding_tick(&mut self, now: Now) {
-        let due = self
-            .forwarding
-            .since
-            .is_some_and(|t| now.time >= t + GATHER);
+        let gather = self.processor_share.stretched(GATHER);
+        let due = (self.forwarding.since).is_some_and(|since| now.time >= since + gather);
         if !due || self.forwarding.open.len() >= OPEN {
             return;
         }
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -63,6 +63,7 @@
     /// Whether another direct call may be made now.
     pub fn may_call(&mut self, now: Time) -> bool {
         let rate = DIRECT_RATE + self.machines.len() as f64 / DIRECT_PER;
+        let rate = self.processor_share.slowed(rate);
         let more = (now - self.calls_at).as_secs() * rate;
         self.calls_left = (self.calls_left + more).min(rate);
         self.calls_at = now;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -63,6 +63,9 @@
         let mut order: Vec<(bool, &MachineId)> = (machines.iter())
             .filter_map(|id| Some((lead.is_urgent(lead.machines.get(id)?), id)))
             .collect();
+        // The rest is told when it reports, which is soon.
+        let behind = self.backlog.is_behind(now.time);
+        order.retain(|(urgent, _)| *urgent || !behind);
         order.sort_by_key(|(urgent, _)| !urgent);
         let order: Vec<MachineId> = order.into_iter().map(|(_, id)| id.clone()).collect();
         // Sending a start places nothing and frees nothing.
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -181,14 +181,21 @@
 /// What this process may use.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ProcessLimits {
-    /// Memory.
+    /// Part of one core; none if the platform names none.
+    #[serde(rename = "core_share", default)]
+    pub cpu_share: Option<f64>,
+    /// Memory; none if the platform names none.
     #[serde(default)]
-    pub memory_mb: f64,
-    /// Sockets.
+    pub memory_mb: Option<f64>,
+    /// Sockets; 0 if the platform names none.
     #[serde(default)]
     pub fd_limit: u32,
 }
 
+/// No machine has more cores, nor more memory: a larger number is a mistake in its unit.
+const MOST_CORES: f64 = 4_096.0;
+const MOST_MEMORY_MB: f64 = 16_777_216.0;
+
 impl Settings {
     /// Reads and checks settings.
     pub fn parse(text: &str) -> Result<Self, BadSettings> {
@@ -221,6 +228,7 @@
             }
         }
         self.check_next_limits()?;
+        self.check_process_limits()?;
         if !(p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0) {
             return Err(bad("params.cloud.list_lag_s", "must not be negative"));
         }
@@ -262,6 +270,31 @@
         Ok(())
     }
 
+    fn check_process_limits(&self) -> Result<(), BadSettings> {
+        let Some(limits) = &self.params.limits else {
+            return Ok(());
+        };
+        let bounded = [
+            (
+                "params.machine_limits.core_share",
+                limits.cpu_share,
+                MOST_CORES,
+            ),
+            (
+                "params.machine_limits.memory_mb",
+                limits.memory_mb,
+                MOST_MEMORY_MB,
+            ),
+        ];
+        for (name, value, most) in bounded {
+            if value.is_some_and(|value| !(value > 0.0 && value <= most)) {
+                let text = format!("must be a number above 0 and at most {most}");
+                return Err(bad(name, &text));
+            }
+        }
+        Ok(())
+    }
+
     fn check_teams(&self) -> Result<(), BadSettings> {
         for (i, team) in self.params.teams.iter().enumerate() {
             let field = |name: &str| format!("params.teams[{i}].{name}");
