Slow nodes in the simulated world; incomplete requests hold bounded memory; process usage

Change: the simulated world can charge time for each step (step_times): inputs wait, late reports are refused. Requests that have not come in whole share a sixteenth of memory_mb at each server, beyond it 503; a long request's buffer is given back. rudderreel admin process, and the backlog in overview.

--- a/crates/controller/src/admin.rs
+++ b/crates/controller/src/admin.rs
@@ -35,6 +35,8 @@
     Stops,
     /// What the node refused since it started.
     Refusals,
+    /// Memory and processor time that the node uses, beside what it may.
+    Process,
     /// Why a job is where it is.
     Job {
         /// The job's id.
@@ -67,6 +69,7 @@
         What::Machines { after: Some(name) } => get(&format!("/admin/machines?after={name}")),
         What::Stops => get("/admin/stops"),
         What::Refusals => get("/admin/refusals"),
+        What::Process => get("/admin/process"),
         What::Job { id } => get(&format!("/admin/jobs/{id}")),
         What::Settings { change: None } => get("/admin/settings"),
         What::Settings {
--- a/crates/controller/src/clients/tests.rs
+++ b/crates/controller/src/clients/tests.rs
@@ -46,6 +46,7 @@
         connections: 16,
         workers: 0,
         body: 100,
+        buffered: 10_000,
     };
     let any = "127.0.0.1:0".parse().expect("an address");
     let (server, _) = Server::listen(any, 0, limits, Arc::default()).expect("it listens");
--- a/crates/controller/src/counters.rs
+++ b/crates/controller/src/counters.rs
@@ -30,6 +30,8 @@
     pub too_long: Counter,
     /// Requests and messages that could not be read.
     pub unreadable: Counter,
+    /// Requests refused since too much was buffered of requests that had not come in whole.
+    pub buffers_full: Counter,
     /// Inputs that found the core's queue full.
     pub queue_full: Counter,
 }
@@ -42,6 +44,7 @@
             "workers_sent_on": self.workers_sent_on.get(),
             "requests_too_long": self.too_long.get(),
             "requests_unreadable": self.unreadable.get(),
+            "buffers_full": self.buffers_full.get(),
             "queue_full": self.queue_full.get(),
         })
     }
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -4,6 +4,7 @@
 use crate::http::{self, Answer, Answers, Limits, Request, Server};
 use crate::inputs::{InputQueues, QueueFull};
 use crate::process_limits::ProcessLimits;
+use crate::process_usage::Allowance;
 use crate::requests::{self, Incoming, MAX_BODY};
 use rudderreel_core::{AdminRequest, Input, ReqId, UserRequest};
 use rudderreel_wire::peer::{
@@ -17,6 +18,8 @@
 const PEERS: u8 = 1;
 /// Path of what the servers refused.
 const REFUSALS: &str = "/admin/refusals";
+/// Path of what the process uses.
+const PROCESS: &str = "/admin/process";
 
 /// Requests that wait for the core's answer.
 #[derive(Clone, Default)]
@@ -65,11 +68,13 @@
         connections: connections.front,
         workers: connections.workers,
         body: MAX_BODY,
+        buffered: limits.buffered,
     };
     let for_peers = Limits {
         connections: connections.peers,
         workers: 0,
         body: MAX_MESSAGE_BYTES,
+        buffered: limits.buffered,
     };
     let counters = Arc::<Refusals>::default();
     let (front, a) = Server::listen(settings.listen, FRONT, for_front, counters.clone())?;
@@ -136,12 +141,17 @@
 }
 
 /// Serves peers and administrators.
-pub fn serve_peers(server: Server, core: &InputQueues, refusals: &Refusals) {
+pub fn serve_peers(server: Server, core: &InputQueues, refusals: &Refusals, allowance: Allowance) {
     let intake = Intake { core, refusals };
-    server.serve(|id, request| peer_request(id, &request, &intake));
+    server.serve(|id, request| peer_request(id, &request, &intake, allowance));
 }
 
-fn peer_request(id: ReqId, request: &Request, intake: &Intake) -> Option<Answer> {
+fn peer_request(
+    id: ReqId,
+    request: &Request,
+    intake: &Intake,
+    allowance: Allowance,
+) -> Option<Answer> {
     let Some(bytes) = request.body else {
         return Some(Answer::error(400, "the body is too long"));
     };
@@ -166,6 +176,10 @@
             let body = intake.refusals.as_json().to_string();
             Some(Answer::json(200, body.into_bytes()))
         }
+        ("GET", PROCESS) => {
+            let body = allowance.and_usage().to_string();
+            Some(Answer::json(200, body.into_bytes()))
+        }
         (method, path) if path.starts_with("/admin/") => admin(id, method, path, bytes, intake),
         _ => Some(Answer::error(404, "no such path")),
     }
--- a/crates/controller/src/front/tests.rs
+++ b/crates/controller/src/front/tests.rs
@@ -21,7 +21,8 @@
         core,
         refusals: &refusals,
     };
-    let status = peer_request(ReqId(1), &request, &intake).map(|answer| answer.status);
+    let status =
+        peer_request(ReqId(1), &request, &intake, Allowance::default()).map(|answer| answer.status);
     let counted = refusals.unreadable.get() + refusals.queue_full.get();
     let counts = body.is_some() && matches!(status, Some(400 | 503));
     assert_eq!(counted, u64::from(counts), "what is refused is counted");
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -62,6 +62,8 @@
     pub workers: usize,
     /// Bytes of a request's body.
     pub body: usize,
+    /// Bytes of all requests that have not come in whole yet.
+    pub buffered: usize,
 }
 
 /// The path that workers report at.
@@ -99,6 +101,8 @@
     stage: Stage,
     /// What has come in and is not used up.
     input: Vec<u8>,
+    /// How much of it counts as buffered.
+    counted: usize,
     /// What is to be written, and how much of it has been.
     output: Vec<u8>,
     written: usize,
@@ -122,6 +126,8 @@
     listener: TcpListener,
     connections: Slab<Connection>,
     workers: usize,
+    /// Bytes of requests that have not come in whole.
+    buffered: usize,
     serial: u32,
     limits: Limits,
     refusals: Arc<Refusals>,
@@ -169,6 +175,7 @@
             listener,
             connections: Slab::new(),
             workers: 0,
+            buffered: 0,
             serial: 0,
             limits,
             refusals,
@@ -263,6 +270,7 @@
                 stream,
                 stage: Stage::Reading,
                 input: Vec::new(),
+                counted: 0,
                 output: Vec::new(),
                 written: 0,
                 serial: 0,
@@ -287,6 +295,7 @@
     fn drop_connection(&mut self, at: usize) {
         if let Some(mut gone) = self.connections.try_remove(at) {
             self.workers -= usize::from(gone.worker);
+            self.buffered -= gone.counted;
             let _ = self.poll.registry().deregister(&mut gone.stream);
         }
     }
@@ -351,7 +360,7 @@
                 connection.input.extend_from_slice(&bytes[used..]);
             }
             if used == 0 {
-                return;
+                return self.count_buffered(at);
             }
         } else {
             connection.input.extend_from_slice(bytes);
@@ -362,8 +371,37 @@
         self.go_on(at, handle);
     }
 
-    /// Takes requests from what has come in, as long as there are whole ones and none is open.
+    /// Counts what a connection has buffered. If all of them together hold too much, this one is refused:
+    /// many clients that each send a part of a request must not take the memory of the node.
+    fn count_buffered(&mut self, at: usize) {
+        let Some(connection) = self.connections.get_mut(at) else {
+            return;
+        };
+        self.buffered = self.buffered - connection.counted + connection.input.len();
+        connection.counted = connection.input.len();
+        if self.buffered <= self.limits.buffered || connection.stage != Stage::Reading {
+            return;
+        }
+        connection.input = Vec::new();
+        connection.close = true;
+        self.buffered -= connection.counted;
+        connection.counted = 0;
+        self.refusals.buffers_full.add();
+        self.begin_answer(at, &Answer::error(503, "too many requests are incomplete"));
+    }
+
+    /// Takes what requests there are, and counts what is left.
     fn go_on(&mut self, at: usize, handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>) {
+        self.take_requests(at, handle);
+        self.count_buffered(at);
+    }
+
+    /// Takes requests from what has come in, as long as there are whole ones and none is open.
+    fn take_requests(
+        &mut self,
+        at: usize,
+        handle: &mut impl FnMut(ReqId, Request) -> Option<Answer>,
+    ) {
         while let Some(connection) = self.connections.get_mut(at) {
             if connection.stage != Stage::Reading || connection.input.is_empty() {
                 return;
@@ -372,7 +410,8 @@
             let used = self.next_request(at, &input, handle);
             input.drain(..used);
             if let Some(connection) = self.connections.get_mut(at) {
-                connection.input = input;
+                // The room that a long request took is given back.
+                connection.input = if input.is_empty() { Vec::new() } else { input };
             }
             if used == 0 {
                 return;
--- a/crates/controller/src/http/tests.rs
+++ b/crates/controller/src/http/tests.rs
@@ -5,6 +5,7 @@
     connections: 60,
     workers: 40,
     body: 1_000,
+    buffered: 3_000,
 };
 
 /// A server on loopback that answers everything but reports at once; those from another thread.
@@ -170,3 +171,33 @@
     server.answer(ids[1], Answer::json(200, vec![]), &mut |_, _| None);
     assert_eq!(server.connections[0].stage, Stage::Reading);
 }
+
+/// Clients that send parts of requests can't take more memory than there is for them, and others are served.
+#[test]
+fn incomplete_requests_hold_bounded_memory() {
+    let addr = start();
+    let head = "POST /any HTTP/1.1\r\nContent-Length: 1000\r\n\r\n";
+    let part = format!("{head}{}", "x".repeat(900));
+    let send = |text: &str| {
+        let mut client = open(addr);
+        client.write_all(text.as_bytes()).expect("it is sent");
+        // Sent one after the other, they are read one after the other.
+        std::thread::sleep(Duration::from_millis(50));
+        client
+    };
+    let mut first: Vec<Client> = (0..3).map(|_| send(&part)).collect();
+    let mut beyond = send(&part);
+    assert_eq!(answer(&mut beyond).map(|(status, _)| status), Some(503));
+    let mut whole = send("GET /any HTTP/1.1\r\n\r\n");
+    assert_eq!(answer(&mut whole).map(|(status, _)| status), Some(200));
+    for client in &mut first {
+        client.write_all(&[b'x'; 100]).expect("the rest is sent");
+        assert_eq!(answer(client).map(|(status, _)| status), Some(200));
+    }
+    // What they held has been given back.
+    let mut later: Vec<Client> = (0..3).map(|_| send(&part)).collect();
+    for client in &mut later {
+        client.write_all(&[b'x'; 100]).expect("the rest is sent");
+        assert_eq!(answer(client).map(|(status, _)| status), Some(200));
+    }
+}
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -11,6 +11,7 @@
 mod logs;
 mod outgoing;
 mod process_limits;
+mod process_usage;
 mod requests;
 mod shell;
 
--- a/crates/controller/src/process_limits.rs
+++ b/crates/controller/src/process_limits.rs
@@ -4,6 +4,7 @@
 //! connections. What does not fit is refused at once, with a status that says when to come back.
 
 use rudderreel_core::{ConnectionLimits, FleetLimits};
+use rudderreel_wire::peer::MAX_MESSAGE_BYTES;
 use rudderreel_wire::settings::{ProcessLimits as Allowed, Settings};
 
 /// Sockets that are reckoned with if neither the platform nor the system names a limit.
@@ -22,6 +23,15 @@
 /// Threads of a kind at most: the platform allows a process some two thousand in all.
 const MOST_THREADS: usize = 256;
 
+/// Of the memory that the process may have so much may hold requests that have not come in whole, at each
+/// of its two servers; without a limit in the settings it is this many bytes.
+const BUFFERED_PART: f64 = 1.0 / 16.0;
+const BUFFERED_BYTES: usize = 16 << 20;
+/// With less memory a node of a few hundred machines can hardly serve.
+const LITTLE_MEMORY_MB: f64 = 24.0;
+/// With a smaller share of a core it can hardly answer its workers.
+const LITTLE_CPU: f64 = 0.01;
+
 /// What a node takes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -35,11 +45,13 @@
     pub command_threads: usize,
     /// Threads for asking workers whether they are there.
     pub probe_threads: usize,
+    /// Bytes of requests that have not come in whole, at each server.
+    pub buffered: usize,
 }
 
 impl ProcessLimits {
-    /// By the sockets that the process may have.
-    pub fn of_sockets(sockets: usize) -> Self {
+    /// By the sockets that the process may have, and by its memory if that is named.
+    pub fn of(sockets: usize, memory_mb: Option<f64>) -> Self {
         let connections = ConnectionLimits::of_sockets(sockets);
         let threads = |per: usize, least: usize| (sockets / per).clamp(least, MOST_THREADS);
         Self {
@@ -48,10 +60,28 @@
             calls: connections.peers.max(LEAST_CALLS),
             command_threads: threads(SOCKETS_PER_COMMAND_THREAD, LEAST_COMMAND_THREADS),
             probe_threads: threads(SOCKETS_PER_PROBE_THREAD, LEAST_PROBE_THREADS),
+            buffered: memory_mb.map_or(BUFFERED_BYTES, buffered_bytes),
         }
     }
 }
 
+fn buffered_bytes(memory_mb: f64) -> usize {
+    ((memory_mb * 1e6 * BUFFERED_PART) as usize).max(MAX_MESSAGE_BYTES)
+}
+
+/// Says what the platform gives too little of. The process serves all the same, as well as it can.
+fn warn_of_little(allowed: &Allowed) {
+    if let Some(share) = allowed.cpu_share.filter(|share| *share < LITTLE_CPU) {
+        log::error!("core_share is {share}: too little to answer a fleet's workers in time");
+    }
+    if let Some(memory) = allowed
+        .memory_mb
+        .filter(|memory| *memory < LITTLE_MEMORY_MB)
+    {
+        log::error!("memory_mb is {memory}: the process will probably be ended for memory");
+    }
+}
+
 /// Completes the settings with the system's limit of sockets if the platform names none, and says for
 /// how many workers there are connections. Returns what the process takes on.
 pub fn take_stock(settings: &mut Settings) -> ProcessLimits {
@@ -75,7 +105,11 @@
     if let Some(limits) = FleetLimits::of(settings) {
         log::info!("{sockets} sockets: {limits}");
     }
-    ProcessLimits::of_sockets(sockets)
+    let limits = settings.params.limits.as_ref();
+    if let Some(limits) = limits {
+        warn_of_little(limits);
+    }
+    ProcessLimits::of(sockets, limits.and_then(|limits| limits.memory_mb))
 }
 
 /// The system's own limit of sockets, raised as far as it allows; none if it can't be read.
--- a/crates/controller/src/process_limits/tests.rs
+++ b/crates/controller/src/process_limits/tests.rs
@@ -4,17 +4,30 @@
 /// Waiting reports, answers and probes had fixed bounds below what a large node has connections for.
 #[test]
 fn limits_follow_from_the_sockets() {
-    let small = ProcessLimits::of_sockets(1_200);
+    let small = ProcessLimits::of(1_200, None);
     assert_eq!(small.connections.workers, 675);
     assert_eq!((small.reports, small.calls), (LEAST_REPORTS, LEAST_CALLS));
     for machines in [4_000, 6_000] {
-        let limits = ProcessLimits::of_sockets(2 * machines);
+        let limits = ProcessLimits::of(2 * machines, None);
         assert!(limits.connections.workers >= machines, "{limits:?}");
         assert!(limits.reports >= machines, "{limits:?}");
         // All threads together stay far below what a process may have.
         let threads = limits.command_threads + limits.probe_threads;
         assert!((150..1_000).contains(&threads), "{limits:?}");
     }
-    let huge = ProcessLimits::of_sockets(1 << 20);
+    let huge = ProcessLimits::of(1 << 20, None);
     assert_eq!(huge.command_threads, MOST_THREADS);
 }
+
+/// 900 connections that each send most of a request of 64 KiB were 57 MB on a node that has 46.
+#[test]
+fn buffers_of_incomplete_requests_follow_from_the_memory() {
+    let small = ProcessLimits::of(1_200, Some(46.0));
+    assert!(2 * small.buffered < 6_000_000, "{small:?}");
+    assert!(small.buffered >= MAX_MESSAGE_BYTES, "a peer's message fits");
+    assert_eq!(ProcessLimits::of(1_200, None).buffered, BUFFERED_BYTES);
+    assert_eq!(
+        ProcessLimits::of(1_200, Some(1.0)).buffered,
+        MAX_MESSAGE_BYTES
+    );
+}
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -5,6 +5,7 @@
 use crate::inputs::{self, Inputs};
 use crate::outgoing::{self, spawn, Outgoing};
 use crate::process_limits;
+use crate::process_usage::Allowance;
 use rudderreel_core::units::Span;
 use rudderreel_core::{Core, Input, ProcessorShare};
 use rudderreel_wire::settings::Settings;
@@ -30,8 +31,9 @@
         front::serve_front(servers.front, &front_queues, &counters)
     })?;
     let counters = servers.counters;
+    let allowance = Allowance::of(&settings);
     spawn("peers", move || {
-        front::serve_peers(servers.peers, &queues, &counters)
+        front::serve_peers(servers.peers, &queues, &counters, allowance)
     })?;
     log::info!("node {} serves at {}", settings.node, settings.listen);
     let tick = ProcessorShare::of(&settings).stretched(TICK);
@@ -79,10 +81,11 @@
     let outputs = core.step(input, now);
     let ended = clock.time();
     let took = ended - now.time;
-    core.step_ended(ended, took);
     if let Some(kind) = kind.filter(|_| took > SLOW) {
-        log::debug!("a step took {} ms: {kind:?}", took.0);
+        let long_step = core.long_step();
+        log::debug!("a step took {} ms: {kind:?} {long_step:?}", took.0);
     }
+    core.step_ended(ended, took);
     let mut not_made = Vec::new();
     for output in outputs {
         if let Some(answer) = outgoing.send(output, now.time) {
--- a/crates/controller/tests/loopback/fleet.rs
+++ b/crates/controller/tests/loopback/fleet.rs
@@ -216,6 +216,7 @@
     let mut admin = Client::open(controller.peers);
     assert_eq!(admin.ask("GET /admin/machines?after=vm-000100"), 200);
     assert_eq!(admin.ask("GET /admin/refusals"), 200);
+    assert_eq!(admin.ask("GET /admin/process"), 200);
 }
 
 /// A node with fewer sockets than the fleet wants takes what it can, and sends the others on at once.
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -245,6 +245,7 @@
             "connections_for": FleetLimits::of(&self.settings),
             "machines_beyond_connections": lead.map(|l| l.beyond_connections),
             "pages": lead.map(|l| l.placement_log.len()),
+            "backlog": self.backlog.summary(now.time),
             "counters": lead.map(|l| &l.counters),
             "answers_ms": self.user_requests.latency.summary(),
             "start_waits_ms": lead.map(|l| {
--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -4,7 +4,9 @@
 //! the reason, it shows in what waits. A node that is behind puts off what can wait, asks for fewer workers by
 //! naming a higher load to its peers, and, if it leads and stays far behind, makes way.
 
+use crate::admin::Latency;
 use crate::units::{Span, Time};
+use serde_json::{json, Value};
 
 /// A node with an input that has waited for so long is behind, and for so long after that.
 const BEHIND: Span = Span(300);
@@ -27,6 +29,8 @@
     far_behind_until: Time,
     load_factor: f64,
     next_estimate: Time,
+    /// How long inputs waited, for administrators.
+    waits: Latency,
 }
 
 impl Default for Backlog {
@@ -37,6 +41,7 @@
             far_behind_until: Time(0),
             load_factor: 1.0,
             next_estimate: Time(0),
+            waits: Latency::default(),
         }
     }
 }
@@ -44,6 +49,7 @@
 impl Backlog {
     /// Notes how long an input has waited.
     pub fn note_wait(&mut self, now: Time, waited: Span) {
+        self.waits.note(waited);
         if waited >= BEHIND {
             self.behind_until = now + BEHIND_FOR;
         }
@@ -79,6 +85,15 @@
         self.load_factor = (self.load_factor * change).clamp(1.0, HIGHEST);
     }
 
+    /// What administrators are told.
+    pub fn summary(&self, now: Time) -> Value {
+        json!({
+            "behind": self.is_behind(now),
+            "load_factor": self.load_factor,
+            "input_waits_ms": self.waits.summary(),
+        })
+    }
+
     /// The load that so many workers are for this node, in workers of one that keeps up.
     pub fn load_of(&self, workers: u32) -> u32 {
         (f64::from(workers) * self.load_factor).round() as u32
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -206,6 +206,11 @@
         std::mem::take(&mut self.out)
     }
 
+    /// What the last step did, if that takes long in a large fleet; until [`Core::step_ended`] is called.
+    pub fn long_step(&self) -> Option<LongStep> {
+        self.pacing.current()
+    }
+
     /// Tells how long the step took that has just ended, by the steady clock. Without it looks and cycles
     /// follow one another as if they took no time.
     pub fn step_ended(&mut self, at: Time, took: Span) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -57,4 +57,5 @@
     CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
     UserRequest, Value,
 };
+pub use pacing::LongStep;
 pub use processor_share::ProcessorShare;
--- a/crates/core/src/pacing.rs
+++ b/crates/core/src/pacing.rs
@@ -9,7 +9,7 @@
 
 /// Steps of the leader that take long in a large fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LongStep {
+pub enum LongStep {
     /// A look through machines and jobs.
     Review,
     /// A look with a cycle.
@@ -59,6 +59,11 @@
         }
     }
 
+    /// What the current step did, if it was long.
+    pub fn current(&self) -> Option<LongStep> {
+        self.current
+    }
+
     /// Notes how long the step took that has just ended.
     pub fn ended(&mut self, at: Time, took: Span) {
         let pause = |times: u64| Span(took.0.saturating_mul(times)).min(LONGEST_PAUSE);
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -6,6 +6,7 @@
 mod gap;
 mod meetings;
 mod pipelines;
+mod slow_nodes;
 mod stores;
 mod versions;
 mod worker;
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -6,6 +6,7 @@
 mod pipelines;
 mod plan;
 mod rules;
+mod step_times;
 mod troubles;
 mod users;
 mod versions;
@@ -61,6 +62,8 @@
 
 enum Event {
     Tick(usize, u32),
+    /// A node whose steps take time can go on.
+    Free(usize, u32),
     Input(usize, u32, Input),
     State(usize, u32, CallId, Time, rudderreel_core::StateCall),
     Late(rudderreel_core::StateCall),
@@ -95,6 +98,7 @@
     cut_peers_until: u64,
     cut_workers_until: u64,
     slow_until: u64,
+    work: step_times::Work,
 }
 
 /// What users know of a job.
@@ -217,6 +221,7 @@
             cut_peers_until: 0,
             cut_workers_until: 0,
             slow_until: 0,
+            work: step_times::Work::default(),
         });
         let mut world = Self {
             now: 10_000,
@@ -303,6 +308,7 @@
         self.nodes[node].core = Some(Core::new(self.settings[node].clone()));
         self.nodes[node].life += 1;
         self.nodes[node].askers.clear();
+        self.nodes[node].work.forget();
         let life = self.nodes[node].life;
         self.after(1, Event::Tick(node, life));
     }
@@ -363,12 +369,19 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick(node, life) => {
-                if self.alive(node, life) {
-                    self.step(node, Input::Tick);
+                if self.alive(node, life) && self.plan.steps_take_time {
+                    self.enqueue(node, Input::Tick);
+                } else if self.alive(node, life) {
+                    self.step_now(node, Input::Tick);
                     let slow = self.now < self.nodes[node].slow_until;
                     self.after(if slow { 150 } else { 20 }, Event::Tick(node, life));
                 }
             }
+            Event::Free(node, life) => {
+                if self.alive(node, life) {
+                    self.work_on(node);
+                }
+            }
             Event::Input(node, life, input) => {
                 if self.alive(node, life) {
                     self.step(node, input);
@@ -525,6 +538,14 @@
     }
 
     fn step(&mut self, node: usize, input: Input) {
+        if self.plan.steps_take_time {
+            self.enqueue(node, input);
+        } else {
+            self.step_now(node, input);
+        }
+    }
+
+    fn step_now(&mut self, node: usize, input: Input) {
         let now = self.clock(node);
         let life = self.nodes[node].life;
         for output in self.measured_step(node, input, now) {
@@ -619,6 +640,11 @@
             );
         }
         let req = self.ask(to, Asker::Passed(from, life, id));
+        if self.plan.steps_take_time {
+            // The sender does not wait for ever; an answer that comes later finds nobody.
+            let none = Input::ReportsReply(id, None);
+            self.after(step_times::BATCH_WAITS_MS, Event::Input(from, life, none));
+        }
         self.step(to, Input::Reports(req, reports));
     }
 
--- a/crates/core/tests/sim/world/plan.rs
+++ b/crates/core/tests/sim/world/plan.rs
@@ -67,6 +67,8 @@
     pub run_ms: Option<(u64, u64)>,
     /// Processor time of steps and bytes of messages are measured.
     pub measures: bool,
+    /// Steps take time, as on a node with a small part of a core.
+    pub steps_take_time: bool,
 }
 
 impl Default for Plan {
@@ -102,6 +104,7 @@
             zone_names: &["a", "b"],
             run_ms: None,
             measures: false,
+            steps_take_time: false,
         }
     }
 }
@@ -149,6 +152,9 @@
             text += "[params.state.next]\n";
             text += &limits_as_toml(&lower);
         }
+        if plan.steps_take_time {
+            text += "[params.machine_limits]\ncore_share = 0.032\n";
+        }
         Settings::parse(&text).expect("the settings are valid")
     }
 }
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -125,3 +125,38 @@
         );
     }
 }
+
+/// A share or a memory that can't be right ends the process at its start; one that is left out is no limit.
+#[test]
+fn limits_of_the_process_are_checked() {
+    let with = |limits: &str| {
+        let text = format!("{SETTINGS}\n[params.machine_limits]\n{limits}\n");
+        Settings::parse(&text)
+    };
+    let good = with("core_share = 0.032\nmemory_mb = 46.0\nfd_limit = 1200").expect("settings");
+    let limits = good.params.limits.expect("limits");
+    assert_eq!(
+        (limits.cpu_share, limits.memory_mb),
+        (Some(0.032), Some(46.0))
+    );
+    let none = with("").expect("settings").params.limits.expect("limits");
+    assert_eq!(
+        (none.cpu_share, none.memory_mb, none.fd_limit),
+        (None, None, 0)
+    );
+    for field in ["core_share", "memory_mb"] {
+        for bad in ["0.0", "-1.0", "nan", "inf", "1e300"] {
+            let message = with(&format!("{field} = {bad}"))
+                .expect_err(bad)
+                .to_string();
+            let named = format!("params.machine_limits.{field}");
+            assert!(message.contains(&named), "{message}");
+        }
+    }
+    for bad in ["-1", "1e9", "99999999999"] {
+        let message = with(&format!("fd_limit = {bad}"))
+            .expect_err(bad)
+            .to_string();
+        assert!(!message.is_empty());
+    }
+}
