--- a/crates/controller/src/outgoing.rs
+++ b/crates/controller/src/outgoing.rs
@@ -2,18 +2,20 @@
 //! bounded queues. A call that finds its queue full is answered as not made, so that the core never waits
 //! for an answer that can't come.
 
+mod peers;
+
 use crate::clients::{self, CallLimits, Watched};
 use crate::clock::Clock;
 use crate::front::Open;
-use crate::inputs::{InputQueues, InputSender, BATCH_WAITS_MS};
+use crate::inputs::{InputQueues, InputSender};
 use crate::process_limits::ProcessLimits;
 use crossbeam_channel::{bounded, Sender};
+use peers::{PeerMessage, PeerQueues};
 use rudderreel_core::units::Time;
 use rudderreel_core::{
     CallId, CloudAnswer, CloudCall, DirectOutcome, Input, Output, ReqId, StateAnswer, StateCall,
 };
 use rudderreel_wire::ids::{MachineId, NodeName, Version};
-use rudderreel_wire::peer::{Announcement, Forward, Heartbeat, Reports};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::worker::DirectCommands;
 use std::collections::BTreeMap;
@@ -38,9 +40,6 @@
 const WATCH_RETRY: Duration = Duration::from_millis(300);
 /// Connections to workers that are kept for later calls: the same worker is mostly called again soon or not.
 const IDLE_WORKERS: usize = 8;
-/// Time limits of calls to peers, in milliseconds.
-const PEER_CONNECT_MS: u64 = 300;
-const PEER_CALL_MS: u64 = 1_000;
 /// Stack of a thread.
 const STACK: usize = 128 * 1024;
 
@@ -51,49 +50,6 @@
     body: DirectCommands,
 }
 
-/// A message to a peer.
-enum PeerMessage {
-    Heartbeat(Heartbeat),
-    Forward(ReqId, Forward),
-    Reports(CallId, Reports),
-    Announce(NodeName, Announcement),
-}
-
-/// How messages of one kind go to a peer.
-#[derive(Clone, Copy)]
-struct PeerCalls {
-    threads: usize,
-    /// Messages that may wait for a thread.
-    waiting: usize,
-    /// How long an answer is waited for.
-    whole_ms: u64,
-}
-
-impl PeerCalls {
-    const HEARTBEATS: Self = Self::of(1, 1, PEER_CALL_MS);
-    const ANNOUNCEMENTS: Self = Self::of(1, 1, PEER_CALL_MS);
-    const FORWARDS: Self = Self::of(2, 32, PEER_CALL_MS);
-    /// A leader that is behind for a moment still answers in time for the workers, who wait for 4 s. Given
-    /// up after a second, the same reports came again, to it or to another node, and held it up for longer.
-    const REPORTS: Self = Self::of(2, 4, BATCH_WAITS_MS);
-
-    const fn of(threads: usize, waiting: usize, whole_ms: u64) -> Self {
-        Self {
-            threads,
-            waiting,
-            whole_ms,
-        }
-    }
-}
-
-/// Queues of messages to one peer.
-struct PeerQueues {
-    heartbeats: Sender<PeerMessage>,
-    forwards: Sender<PeerMessage>,
-    reports: Sender<PeerMessage>,
-    announcements: Sender<PeerMessage>,
-}
-
 /// Where the core's outputs go.
 pub struct Outgoing {
     open: Open,
@@ -234,16 +190,6 @@
 ) -> Result<Outgoing, String> {
     let core = &inputs.control;
     let services = &settings.services;
-    let mut peers = BTreeMap::new();
-    for peer in &settings.peers {
-        let queues = PeerQueues {
-            heartbeats: start_peer(peer.addr, clock, core, PeerCalls::HEARTBEATS)?,
-            forwards: start_peer(peer.addr, clock, core, PeerCalls::FORWARDS)?,
-            reports: start_peer(peer.addr, clock, core, PeerCalls::REPORTS)?,
-            announcements: start_peer(peer.addr, clock, core, PeerCalls::ANNOUNCEMENTS)?,
-        };
-        peers.insert(peer.node.clone(), queues);
-    }
     Ok(Outgoing {
         open,
         state: start_state("state", STATE_THREADS, services.state, clock, core)?,
@@ -252,7 +198,7 @@
         cloud: start_cloud(services.cloud, core)?,
         commands: start_workers("command", limits.command_threads, limits.calls, core)?,
         probes: start_workers("probe", limits.probe_threads, limits.calls, core)?,
-        peers,
+        peers: peers::start(settings, clock, core)?,
     })
 }
 
@@ -347,32 +293,5 @@
     })
 }
 
-fn start_peer(
-    addr: SocketAddrV4,
-    clock: Clock,
-    core: &InputSender,
-    calls: PeerCalls,
-) -> Result<Sender<PeerMessage>, String> {
-    let agent = clients::agent(CallLimits::of_service(PEER_CONNECT_MS, calls.whole_ms));
-    start_threads("peer", calls.threads, calls.waiting, core, move |message| {
-        Some(match message {
-            PeerMessage::Heartbeat(beat) => {
-                let sent = clock.time();
-                // One without an answer says nothing.
-                Input::HeartbeatReply(sent, clients::heartbeat(&agent, addr, &beat)?)
-            }
-            PeerMessage::Reports(id, reports) => {
-                Input::ReportsReply(id, clients::pass_reports(&agent, addr, &reports))
-            }
-            PeerMessage::Announce(peer, told) => {
-                Input::AnnounceReply(peer, clients::announce(&agent, addr, &told))
-            }
-            PeerMessage::Forward(req, request) => {
-                Input::ForwardReply(req, clients::forward(&agent, addr, &request))
-            }
-        })
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/controller/src/outgoing/tests.rs
+++ b/crates/controller/src/outgoing/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use rudderreel_wire::ids::{Epoch, Session};
+use rudderreel_wire::peer::{Announcement, Forward, Reports};
 
 /// Channels that take nothing.
 fn full() -> Outgoing {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -282,9 +282,9 @@
                 lead.renewed(sent);
             }
         }
-        let (verdict, calls) = self.election.answered(now.time, sent, step, answer);
-        self.election_calls(calls);
-        match verdict {
+        let progress = self.election.answered(now.time, sent, step, answer);
+        self.election_calls(progress.calls);
+        match progress.verdict {
             Verdict::Nothing => {}
             Verdict::Leader(key, record) => self.job_cache.learn_leader_read(key, record),
             Verdict::Won(won) => self.take_lead(won, now),
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -34,12 +34,14 @@
 //! have ended before. By its own clock a superseded leader may go on for [`LEASE`] after that; the fence
 //! of a new leader comes later still.
 
-use crate::io::{StateAnswer, StateCall, Value};
-use crate::records::{EpochRecord, LeaderKey, LeaderRecord, EPOCH, LEADER};
-use crate::recovery::put;
+mod campaign;
+
+pub use campaign::epoch_change;
+
+use crate::io::{StateAnswer, StateCall};
+use crate::records::{LeaderKey, LeaderRecord};
 use crate::units::{Span, Time};
 use rudderreel_wire::ids::{Epoch, LeaseId, NodeName, Version};
-use rudderreel_wire::state::{Change, Condition, Transaction};
 use std::collections::BTreeMap;
 
 /// How long a leader's lease lasts without a renewal.
@@ -123,9 +125,10 @@
 }
 
 /// What the rest of the core must do.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub enum Verdict {
     /// Nothing.
+    #[default]
     Nothing,
     /// A leader's key as read.
     Leader(LeaderKey, Option<(Version, LeaderRecord)>),
@@ -135,6 +138,31 @@
     Lost,
 }
 
+/// What follows from the answer to a call of the election.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// What the rest of the core must do.
+    pub verdict: Verdict,
+    /// Calls to make next.
+    pub calls: Vec<(StateCall, Step)>,
+}
+
+impl Progress {
+    fn to(verdict: Verdict) -> Self {
+        Self {
+            verdict,
+            calls: Vec::new(),
+        }
+    }
+
+    fn by(call: StateCall, step: Step) -> Self {
+        Self {
+            verdict: Verdict::Nothing,
+            calls: vec![(call, step)],
+        }
+    }
+}
+
 /// This node's part in the election.
 pub struct Election {
     me: NodeName,
@@ -335,7 +363,7 @@
             Seat::Outdated(leader) => {
                 if now >= self.next_supersede {
                     self.next_supersede = now + SUPERSEDE;
-                    calls.push((supersede(leader), Step::Supersede));
+                    calls.push((campaign::supersede(leader), Step::Supersede));
                 }
             }
             Seat::Vacant(superseded) => calls.push(self.campaign(seat.key(), superseded)),
@@ -343,44 +371,8 @@
         }
     }
 
-    /// Begins a campaign for a key.
-    fn campaign(
-        &mut self,
-        key: LeaderKey,
-        superseded: Option<&(Version, LeaderRecord)>,
-    ) -> (StateCall, Step) {
-        self.campaigning = true;
-        self.key = key;
-        self.superseded = superseded.map(|(version, _)| *version);
-        let lease = superseded.and_then(|(_, record)| record.lease_to_end());
-        match lease {
-            Some(lease) => (StateCall::EndLease(lease), Step::EndSuperseded),
-            None => (StateCall::Get(EPOCH.into()), Step::ReadEpoch),
-        }
-    }
-
-    /// The answer to the end of a superseded leader's lease. The campaign goes on only once it has surely
-    /// ended.
-    fn superseded_has_ended(
-        &mut self,
-        now: Time,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
-        if !matches!(answer, StateAnswer::Done | StateAnswer::Missing) {
-            return self.give_up(now);
-        }
-        let call = StateCall::Get(EPOCH.into());
-        (Verdict::Nothing, vec![(call, Step::ReadEpoch)])
-    }
-
     /// Takes in the answer to a call. `key` is the leader's key as cached.
-    pub fn answered(
-        &mut self,
-        now: Time,
-        sent: Time,
-        step: Step,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
+    pub fn answered(&mut self, now: Time, sent: Time, step: Step, answer: StateAnswer) -> Progress {
         match step {
             Step::Look(key) => self.looked(now, key, answer),
             Step::ReadEpoch => self.epoch_was_read(now, answer),
@@ -390,25 +382,20 @@
             Step::Renew(_) => {
                 self.renewing = false;
                 match answer {
-                    StateAnswer::Missing | StateAnswer::NoSuchLease => (Verdict::Lost, vec![]),
-                    StateAnswer::Done => (Verdict::Nothing, vec![]),
+                    StateAnswer::Missing | StateAnswer::NoSuchLease => Progress::to(Verdict::Lost),
+                    StateAnswer::Done => Progress::default(),
                     _ => {
                         self.next_renew = now + Span(250);
-                        (Verdict::Nothing, vec![])
+                        Progress::default()
                     }
                 }
             }
-            Step::End | Step::Supersede => (Verdict::Nothing, vec![]),
+            Step::End | Step::Supersede => Progress::default(),
             Step::EndSuperseded => self.superseded_has_ended(now, answer),
         }
     }
 
-    fn looked(
-        &mut self,
-        now: Time,
-        key: LeaderKey,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
+    fn looked(&mut self, now: Time, key: LeaderKey, answer: StateAnswer) -> Progress {
         match answer {
             StateAnswer::Found(item) => {
                 let record = LeaderRecord::deserialize_from(&item.value);
@@ -426,208 +413,17 @@
                             && !self.claim_unsure
                             && !self.campaigning =>
                     {
-                        (verdict, vec![(StateCall::EndLease(r.lease), Step::End)])
+                        Progress {
+                            verdict,
+                            calls: vec![(StateCall::EndLease(r.lease), Step::End)],
+                        }
                     }
-                    _ => (verdict, vec![]),
-                }
-            }
-            StateAnswer::Missing => (Verdict::Leader(key, None), vec![]),
-            _ => (Verdict::Nothing, vec![]),
-        }
-    }
-
-    fn epoch_was_read(
-        &mut self,
-        now: Time,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
-        match answer {
-            StateAnswer::Found(item) => {
-                if let Ok(record) = serde_json::from_value::<EpochRecord>(item.value) {
-                    self.hear_epoch(record.epoch, now);
+                    _ => Progress::to(verdict),
                 }
-                self.epoch_version = item.version;
-            }
-            // Nobody has ever led, so nobody can hold a word.
-            StateAnswer::Missing => {
-                self.epoch_version = Version(0);
-                self.hold_off = now;
             }
-            _ => return self.give_up(now),
+            StateAnswer::Missing => Progress::to(Verdict::Leader(key, None)),
+            _ => Progress::default(),
         }
-        self.epoch_read = true;
-        if now < self.hold_off {
-            return self.give_up(now);
-        }
-        let call = StateCall::NewLease(LEASE.0);
-        (Verdict::Nothing, vec![(call, Step::TakeLease)])
-    }
-
-    fn lease_taken(
-        &mut self,
-        now: Time,
-        sent: Time,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
-        let StateAnswer::Lease(lease) = answer else {
-            return self.give_up(now);
-        };
-        if now < self.word_until {
-            return self.give_up(now);
-        }
-        let epoch = Epoch(self.epoch.0 + 1);
-        let claim = StateCall::Commit(self.claim(lease, epoch));
-        (
-            Verdict::Nothing,
-            vec![(claim, Step::Claim(lease, sent, epoch))],
-        )
-    }
-
-    fn claim(&self, lease: LeaseId, epoch: Epoch) -> Transaction<Value> {
-        let record = LeaderRecord::new(self.me.clone(), epoch, lease);
-        let mut claim = epoch_change(self.key, &record, Version(0), self.epoch_version);
-        let common = self.superseded.map(|version| Condition {
-            key: LEADER.into(),
-            version,
-        });
-        claim.conditions.extend(common);
-        claim
-    }
-
-    fn claimed(
-        &mut self,
-        now: Time,
-        lease: LeaseId,
-        since: Time,
-        epoch: Epoch,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
-        match answer {
-            StateAnswer::Committed(version) => self.win(now, epoch, lease, since, version),
-            // The claim may have been carried out, or may yet be: no word until that is known.
-            StateAnswer::Unknown => {
-                self.claim_unsure = true;
-                let call = StateCall::Get(self.key.name().into());
-                (
-                    Verdict::Nothing,
-                    vec![(call, Step::Verify(lease, since, epoch))],
-                )
-            }
-            _ => self.drop_claim(now, lease),
-        }
-    }
-
-    fn verified(
-        &mut self,
-        now: Time,
-        lease: LeaseId,
-        since: Time,
-        epoch: Epoch,
-        answer: StateAnswer,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
-        if let StateAnswer::Found(item) = &answer {
-            let record = LeaderRecord::deserialize_from(&item.value);
-            if record.is_some_and(|r| r.lease == lease && r.epoch == epoch) {
-                return self.win(now, epoch, lease, since, item.version);
-            }
-        }
-        // Nothing renews this lease, so a late claim fails once it has ended. In an outage a
-        // lease does not run out, so the answer must come from a service that works.
-        let answered = matches!(answer, StateAnswer::Found(_) | StateAnswer::Missing);
-        if answered && now > since + Span(2 * LEASE.0) {
-            self.claim_unsure = false;
-            return self.drop_claim(now, lease);
-        }
-        let call = StateCall::Get(self.key.name().into());
-        (
-            Verdict::Nothing,
-            vec![(call, Step::Verify(lease, since, epoch))],
-        )
-    }
-
-    fn win(
-        &mut self,
-        now: Time,
-        epoch: Epoch,
-        lease: LeaseId,
-        since: Time,
-        version: Version,
-    ) -> (Verdict, Vec<(StateCall, Step)>) {
-        self.campaigning = false;
-        self.claim_unsure = false;
-        self.renewing = false;
-        self.vacant_since = None;
-        self.next_renew = now + RENEW;
-        self.hear_epoch(epoch, now);
-        let won = Won {
-            epoch,
-            lease,
-            lease_sent: since,
-            key: self.key,
-            version,
-        };
-        (Verdict::Won(won), vec![])
-    }
-
-    fn drop_claim(&mut self, now: Time, lease: LeaseId) -> (Verdict, Vec<(StateCall, Step)>) {
-        let (verdict, mut calls) = self.give_up(now);
-        calls.push((StateCall::EndLease(lease), Step::End));
-        (verdict, calls)
-    }
-
-    fn give_up(&mut self, now: Time) -> (Verdict, Vec<(StateCall, Step)>) {
-        self.campaigning = false;
-        self.hold_off = self.hold_off.max(now + Span(300 + 100 * self.rank));
-        (Verdict::Nothing, vec![])
-    }
-}
-
-/// The commit that takes an outdated leader's key off its lease. Its version changes, so no write of
-/// that leader is carried out after it.
-fn supersede((version, record): &(Version, LeaderRecord)) -> StateCall {
-    let tombstone = record.tombstone(Some(record.lease));
-    StateCall::Commit(Transaction {
-        conditions: vec![Condition {
-            key: LEADER.into(),
-            version: *version,
-        }],
-        changes: vec![put(LEADER.into(), &tombstone)],
-    })
-}
-
-/// The commit that takes the lead or raises the epoch.
-pub fn epoch_change(
-    key: LeaderKey,
-    record: &LeaderRecord,
-    leader_version: Version,
-    epoch_version: Version,
-) -> Transaction<Value> {
-    let epoch = EpochRecord {
-        epoch: record.epoch,
-    };
-    Transaction {
-        conditions: vec![
-            Condition {
-                key: key.name().into(),
-                version: leader_version,
-            },
-            Condition {
-                key: EPOCH.into(),
-                version: epoch_version,
-            },
-        ],
-        changes: vec![
-            Change::Put {
-                key: key.name().into(),
-                value: serde_json::to_value(record).unwrap_or_default(),
-                lease: Some(record.lease),
-            },
-            Change::Put {
-                key: EPOCH.into(),
-                value: serde_json::to_value(epoch).unwrap_or_default(),
-                lease: None,
-            },
-        ],
     }
 }
 
--- a/crates/core/src/election/tests.rs
+++ b/crates/core/src/election/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::records::LEADER;
+use rudderreel_wire::state::Change;
 use rudderreel_wire::state::Item;
 
 const NOW: Time = Time(1_000_000);
@@ -72,7 +74,7 @@
 fn no_word_while_a_claim_is_open() {
     let (mut node, now) = in_an_outage(4);
     let step = Step::Claim(LeaseId(9), now, Epoch(5));
-    let (verdict, calls) = node.answered(now, now, step, StateAnswer::Unknown);
+    let Progress { verdict, calls } = node.answered(now, now, step, StateAnswer::Unknown);
     assert_eq!(verdict, Verdict::Nothing);
     assert!(matches!(calls[0].1, Step::Verify(..)));
     assert!(!node.give_word(now, Epoch(4), true));
@@ -124,7 +126,7 @@
     if let StateAnswer::Found(item) = &mut found {
         item.value["node"] = "n1".into();
     }
-    let (verdict, _) = node.answered(NOW, NOW, step, found);
+    let Progress { verdict, .. } = node.answered(NOW, NOW, step, found);
     let won = Won {
         epoch: Epoch(6),
         lease: LeaseId(1),
@@ -182,14 +184,15 @@
     let common = (version, record.tombstone(Some(record.lease)));
     let seat = Seat::Vacant(Some(&common));
     assert_eq!(steps(&node.tick(NOW, seat, None)), ["EndSuperseded"]);
-    let (_, calls) = node.answered(NOW, NOW, Step::EndSuperseded, StateAnswer::Unknown);
+    let Progress { calls, .. } = node.answered(NOW, NOW, Step::EndSuperseded, StateAnswer::Unknown);
     assert!(calls.is_empty(), "it may not have ended");
     let later = NOW + Span(2_000);
     assert_eq!(steps(&node.tick(later, seat, None)), ["EndSuperseded"]);
-    let (_, calls) = node.answered(later, later, Step::EndSuperseded, StateAnswer::Done);
+    let Progress { calls, .. } =
+        node.answered(later, later, Step::EndSuperseded, StateAnswer::Done);
     assert_eq!(steps(&calls), ["ReadEpoch"]);
     let taken = StateAnswer::Lease(LeaseId(9));
-    let (_, calls) = node.answered(later, later, Step::TakeLease, taken);
+    let Progress { calls, .. } = node.answered(later, later, Step::TakeLease, taken);
     let Some((StateCall::Commit(claim), _)) = calls.first() else {
         panic!("a claim is expected");
     };
