--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -7,6 +7,7 @@
 mod meetings;
 mod pipelines;
 mod slow_nodes;
+mod steady_costs;
 mod stores;
 mod versions;
 mod worker;
--- a/crates/core/tests/sim/slow_nodes.rs
+++ b/crates/core/tests/sim/slow_nodes.rs
@@ -24,6 +24,7 @@
         pace: 240,
         run_ms: Some((15_000, 100)),
         steps_take_time: true,
+        core_share: Some(0.032),
         ..Plan::default()
     }
 }
--- a/crates/core/tests/sim/world/plan.rs
+++ b/crates/core/tests/sim/world/plan.rs
@@ -69,6 +69,8 @@
     pub measures: bool,
     /// Steps take time, as on a node with a small part of a core.
     pub steps_take_time: bool,
+    /// Part of a core that the settings name, if they do.
+    pub core_share: Option<f64>,
 }
 
 impl Default for Plan {
@@ -105,6 +107,7 @@
             run_ms: None,
             measures: false,
             steps_take_time: false,
+            core_share: None,
         }
     }
 }
@@ -152,8 +155,8 @@
             text += "[params.state.next]\n";
             text += &limits_as_toml(&lower);
         }
-        if plan.steps_take_time {
-            text += "[params.machine_limits]\ncore_share = 0.032\n";
+        if let Some(share) = plan.core_share {
+            text += &format!("[params.machine_limits]\ncore_share = {share}\n");
         }
         Settings::parse(&text).expect("the settings are valid")
     }
