--- a/crates/core/tests/sim/cancellations_in_outages.rs
+++ b/crates/core/tests/sim/cancellations_in_outages.rs
@@ -19,7 +19,7 @@
 }
 
 /// A world in which jobs of replicas run, and who leads it.
-fn running(seed: u64, nodes: usize, spread: bool) -> (World, Vec<JobId>, usize) {
+pub fn play_until_running(seed: u64, nodes: usize, spread: bool) -> (World, Vec<JobId>, usize) {
     let scenario = Scenario {
         nodes,
         spread,
@@ -110,7 +110,7 @@
 
 /// Plays a case. Returns how many agents lost their leases.
 fn play(case: &Case) -> usize {
-    let (mut world, ids, old) = running(case.seed, case.nodes, case.spread);
+    let (mut world, ids, old) = play_until_running(case.seed, case.nodes, case.spread);
     let (node, also) = (|n: usize| (old + n) % case.nodes, case.also);
     let end = world.now + 75_000;
     if also == Also::NoLinks {
@@ -246,7 +246,7 @@
 #[test]
 fn a_node_alone_tells_only_what_nobody_can_undo() {
     for (seed, nodes) in [(740, 3), (741, 5)] {
-        let (mut world, ids, old) = running(seed, nodes, false);
+        let (mut world, ids, old) = play_until_running(seed, nodes, false);
         let alone = (old + 1) % nodes;
         let end = world.now + 60_000;
         for n in (0..nodes).filter(|n| *n != alone) {
@@ -274,7 +274,7 @@
 #[test]
 fn workers_of_refused_nodes_find_the_new_leader() {
     for (seed, spread) in [(750, false), (751, true)] {
-        let (mut world, ids, old) = running(seed, 5, spread);
+        let (mut world, ids, old) = play_until_running(seed, 5, spread);
         let end = world.now + 40_000;
         world.cut_from_store(old, end);
         world.cut_from_store((old + 1) % 5, end);
@@ -294,7 +294,7 @@
 /// node, it starts nothing of. (It learned of changes with its next tick only, and sent starts before.)
 #[test]
 fn nothing_is_started_after_its_user_was_told() {
-    let (mut world, _, leader) = running(760, 3, false);
+    let (mut world, _, leader) = play_until_running(760, 3, false);
     for n in 0..240 {
         let mut spec = replicas(100 + n, 1);
         (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -6,6 +6,7 @@
 mod large_fleets;
 mod one_way_machines_and_cut_nodes;
 mod overlapping_faults;
+mod paused_nodes;
 mod pipelines;
 mod rolling_upgrades;
 mod slow_nodes;
@@ -151,6 +152,7 @@
     let play = |seed: u64| match var("PLAN").as_str() {
         "pipelines" => drop(pipelines::play(seed, pipelines::scenario(nodes))),
         "versions" => rolling_upgrades::play(seed, nodes),
+        "pauses" => paused_nodes::play(seed, nodes),
         _ => troubled_day(seed, nodes, var("SPREAD") == "1"),
     };
     let failed: Vec<u64> = (from..to)
--- /dev/null
+++ b/crates/core/tests/sim/paused_nodes.rs
@@ -0,0 +1,135 @@
+//! Processes that stand still while their clocks run on, alone and together with other faults.
+
+use super::cancellations_in_outages::play_until_running;
+use super::unfinished;
+use super::world::Fault::{self, *};
+use super::world::{Scenario, UserAction, World};
+use rudderreel_wire::ids::JobId;
+
+/// How much longer than cancelled tasks may remain the leader stands still.
+const PAUSE_BEYOND_CANCEL_MS: u64 = 4_000;
+/// The store answers again shortly before it goes on.
+const OUTAGE_ENDS_BEFORE_MS: u64 = 50;
+
+/// Cancels a job at a node until its user has been told.
+fn cancel_until_told(world: &mut World, node: usize, id: &JobId, until: u64) {
+    while world.jobs[id].cancelled_at.is_none() && world.now < until {
+        world.user_asks(node, id, UserAction::Cancel);
+        world.run_until(world.now + 100);
+    }
+    assert!(
+        world.jobs[id].cancelled_at.is_some(),
+        "the user was not told that {id} is cancelled"
+    );
+}
+
+/// A leader's process stood still for 56 s, and meanwhile the store was down in spells of one or two seconds, so that
+/// the leader's lease never ran out there and no other node could win. Users cancelled jobs at the other nodes, which
+/// a majority knew, and were told so. When the process went on it renewed its lease within milliseconds, while its
+/// watch, whose call had run out of time, began again only 0.3 s later. In between it took the tasks of the cancelled
+/// jobs for lost, placed them anew and started them; it stopped them when the watch had caught up.
+#[test]
+fn a_leader_that_stood_still_starts_no_task_of_a_cancelled_job() {
+    for seed in 1_300..1_320 {
+        for nodes in [3, 5] {
+            println!("seed {seed}, {nodes} nodes");
+            pause_leader_and_cancel(seed, nodes);
+        }
+    }
+}
+
+fn pause_leader_and_cancel(seed: u64, nodes: usize) {
+    let (mut world, ids, leader) = play_until_running(seed, nodes, false);
+    let pause_ends = world.now + world.cancel_ms() + PAUSE_BEYOND_CANCEL_MS;
+    world.pause(leader, pause_ends);
+    world.begin_outage_spells(pause_ends);
+    let canceller = (leader + 1) % nodes;
+    // The leader's open watch holds the first change; of the next ones it has heard nothing when it goes on.
+    for id in &ids[..2] {
+        cancel_until_told(&mut world, canceller, id, pause_ends);
+    }
+    world.run_until(pause_ends - OUTAGE_ENDS_BEFORE_MS);
+    world.end_outage_spells();
+    world.run_until(pause_ends);
+    assert_eq!(
+        world.leader_by_store(),
+        Some(leader),
+        "its lease has run out"
+    );
+    world.run_until(pause_ends + 10_000);
+    world.check_starts();
+    world.end_faults();
+    world.run_until(world.now + 100_000);
+    for id in &ids[..2] {
+        assert_eq!(world.on_machines(id), 0);
+    }
+    assert_eq!(world.on_machines(&ids[2]), 2, "others run again");
+}
+
+/// What comes together with pauses.
+const DAYS: [&[Fault]; 6] = [
+    &[LeaderPauses, NodePauses],
+    &[LeaderPauses, StoreDownInSpells, JobsCancelled],
+    &[
+        SeveralNodesPause,
+        StoreDownInSpells,
+        JobsCancelled,
+        RapidStatusRequests,
+    ],
+    &[
+        LeaderPauses,
+        StoreRefusesLeader,
+        StoreDown,
+        StoreBack,
+        JobsCancelled,
+    ],
+    &[
+        LeaderPauses,
+        LateWrites,
+        LostAnswers,
+        LeaderCrashes,
+        JobsCancelled,
+        JobsCancelledAtCompletion,
+    ],
+    &[
+        SeveralNodesPause,
+        NodePauses,
+        NodeCutFromPeers,
+        LeaderReachesOnlyAgents,
+        MachinesPartitioned,
+        MachinesUnreachable,
+        LateReports,
+        JobsCancelled,
+    ],
+];
+
+/// Plays a day with pauses; which other faults come, and whether reports are forwarded, follows from the seed.
+pub fn play(seed: u64, nodes: usize) {
+    let scenario = Scenario {
+        nodes,
+        spread: seed / DAYS.len() as u64 % 2 == 1,
+        only: DAYS[(seed % DAYS.len() as u64) as usize].to_vec(),
+        jobs: 40,
+        ..Scenario::default()
+    };
+    println!("seed {seed}, {nodes} nodes, {:?}", scenario.only);
+    let mut world = World::of(seed, scenario);
+    world.random_faults = true;
+    world.run_until(150_000);
+    world.end_faults();
+    world.run_until(400_000);
+    assert!(world.starts > 0, "nothing_ran");
+    assert_eq!(unfinished(&world), Vec::<String>::new(), "seed {seed}");
+    world.check_starts();
+    world.check_served();
+}
+
+/// A short soak; `many_seeds` plays more by hand.
+#[test]
+fn the_rules_hold_while_processes_stand_still() {
+    for seed in 0..DAYS.len() as u64 * 2 {
+        for nodes in [3, 5] {
+            play(seed, nodes);
+        }
+    }
+}
--- a/crates/core/tests/sim/world/agents.rs
+++ b/crates/core/tests/sim/world/agents.rs
@@ -139,6 +139,9 @@
             .get(id)
             .map(|w| w.node)
             .map(|n| self.nodes[n].life);
+        let reports_to = self.agents.get(id).map(|agent| agent.node);
+        let unanswered =
+            reports_to.is_some_and(|node| self.outlasts(node, pauses::REPORT_TIMEOUT_MS));
         let nodes = self.scenario.nodes;
         let zone = (self.agents.get(id)).map_or("", |w| w.zone()).to_string();
         let apart: Vec<bool> = (0..nodes).map(|n| self.apart(&zone, zone_of(n))).collect();
@@ -160,7 +163,7 @@
             || self.nodes[node].cut_from_agents_until > self.now;
         let mute = agent.unable_to_report_until > self.now;
         let deaf = agent.unreachable_until > self.now;
-        let next = if deaf { 5_000 } else { next };
+        let next = if deaf || unanswered { 5_000 } else { next };
         if deaf {
             // No answer reaches it, so it tries one node after the other.
             agent.node = (node + 1) % nodes;
@@ -175,6 +178,14 @@
             }
             return;
         }
+        if unanswered {
+            // It arrives, but the agent gives up and turns to the next node.
+            let req = self.ask(node, Requester::Nobody);
+            if let Some(agent) = self.agents.get_mut(id) {
+                agent.node = (node + 1) % self.scenario.nodes;
+            }
+            return self.step(node, Input::StatusReport(req, Box::new(report)));
+        }
         let sent = self.now;
         let req = self.ask(
             node,
--- a/crates/core/tests/sim/world/faults.rs
+++ b/crates/core/tests/sim/world/faults.rs
@@ -52,6 +52,12 @@
     RapidStatusRequests,
     /// Submissions that can't be, and cancellations of what is done.
     InvalidRequests,
+    /// A process stands still while its clocks run on.
+    NodePauses,
+    LeaderPauses,
+    SeveralNodesPause,
+    /// The store is down in spells, with too short a time between them for the leader's lease to run out there.
+    StoreDownInSpells,
     /// Every team is at its limit, or within a task of it. This comes by itself.
     TeamsAtLimit,
 }
@@ -223,11 +229,62 @@
             Fault::JobsCancelledAtCompletion => self.cancel_at_end_until = long,
             Fault::RapidStatusRequests => self.rapid_status_until = long,
             Fault::InvalidRequests => (0..8).for_each(|_| self.submit_invalid_requests()),
+            Fault::NodePauses => until = self.pause_for_a_while(&[node]),
+            Fault::LeaderPauses => until = self.pause_for_a_while(&[leader]),
+            Fault::SeveralNodesPause => {
+                until = self.pause_for_a_while(&[leader, (leader + 1) % self.scenario.nodes])
+            }
+            Fault::StoreDownInSpells => {
+                until = self.now + 2 * self.scenario.cancel_ms();
+                self.begin_outage_spells(until);
+            }
             Fault::TeamsAtLimit => {}
         }
         self.faults_seen.push((fault, self.now, until));
     }
 
+    /// How long the tasks of a cancelled job may remain, in milliseconds.
+    pub fn cancel_ms(&self) -> u64 {
+        self.scenario.cancel_ms()
+    }
+
+    /// Has processes stand still for a time that is drawn; returns until when.
+    fn pause_for_a_while(&mut self, nodes: &[usize]) -> u64 {
+        let until = self.now + self.random_pause_ms();
+        for node in nodes {
+            self.pause(*node, until);
+        }
+        until
+    }
+
+    /// The store is down in spells until a moment.
+    pub fn begin_outage_spells(&mut self, until: u64) {
+        self.outage_spells_until = until;
+        self.next_outage_spell(until);
+    }
+
+    /// The outage in spells is over.
+    pub fn end_outage_spells(&mut self) {
+        self.outage_spells_until = 0;
+        self.store.set_down(false, self.now);
+    }
+
+    pub(super) fn next_outage_spell(&mut self, until: u64) {
+        if until != self.outage_spells_until {
+            return;
+        }
+        if self.now >= until {
+            return self.end_outage_spells();
+        }
+        self.store.set_down(!self.store.down, self.now);
+        let spell = if self.store.down {
+            self.rng.random_range(700..1_300)
+        } else {
+            self.rng.random_range(300..1_500)
+        };
+        self.after(spell, Event::OutageSpell(until));
+    }
+
     /// Users call off so many jobs that run, and some of the machines that they run on hang.
     pub(super) fn cancel_now(&mut self, count: usize, hang: u64) {
         let mut running: Vec<(JobId, MachineId)> = Vec::new();
@@ -286,6 +343,12 @@
             node.cut_from_agents_until = 0;
             node.slow_until = 0;
         }
+        self.end_outage_spells();
+        for node in 0..self.scenario.nodes {
+            if self.is_paused(node) {
+                self.pause(node, self.now);
+            }
+        }
         self.state_slow_until = 0;
         self.late_writes_until = 0;
         self.lost_answers_until = 0;
--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -11,6 +11,7 @@
 mod network;
 mod nodes;
 mod old_version;
+mod pauses;
 mod peer_messages;
 mod pipelines;
 mod processor_time;
@@ -79,6 +80,8 @@
     State(usize, u32, CallId, Time, rudderreel_core::StoreCall),
     LateTransaction(rudderreel_core::StoreCall),
     Watch(usize, u32, Version),
+    /// A watch is begun again that has run out of time.
+    RetryWatch(usize, u32, Version),
     Cloud(usize, u32, CallId, rudderreel_core::CloudCall),
     Direct(usize, u32, MachineId, DirectCommands, bool),
     LateReport(usize, Box<StatusReport>),
@@ -93,6 +96,10 @@
     User,
     Fault,
     Restart(usize),
+    /// A process that stood still goes on.
+    Resume(usize, u32),
+    /// The next spell of an outage that comes in spells, until a moment.
+    OutageSpell(u64),
     LowerLimits,
     Upgrade(usize),
 }
@@ -110,6 +117,7 @@
     cut_from_agents_until: u64,
     slow_until: u64,
     work: processor_time::Work,
+    pause: pauses::Pause,
 }
 
 /// What users know of a job.
@@ -156,6 +164,7 @@
     pub starts: u32,
     scenario: Scenario,
     state_slow_until: u64,
+    outage_spells_until: u64,
     late_writes_until: u64,
     lost_answers_until: u64,
     slow_links_until: u64,
@@ -234,6 +243,7 @@
             cut_from_agents_until: 0,
             slow_until: 0,
             work: processor_time::Work::default(),
+            pause: pauses::Pause::default(),
         });
         let mut world = Self {
             now: 10_000,
@@ -253,6 +263,7 @@
             random_faults: false,
             starts: 0,
             state_slow_until: 0,
+            outage_spells_until: 0,
             late_writes_until: 0,
             lost_answers_until: 0,
             slow_links_until: 0,
@@ -324,7 +335,9 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick(node, life) => {
-                if self.alive(node, life) && self.scenario.steps_take_time {
+                if self.alive(node, life) && self.is_paused(node) {
+                    self.after(self.remaining_pause(node), Event::Tick(node, life));
+                } else if self.alive(node, life) && self.scenario.steps_take_time {
                     self.enqueue(node, Input::Tick);
                 } else if self.alive(node, life) {
                     self.step_now(node, Input::Tick);
@@ -333,7 +346,9 @@
                 }
             }
             Event::Free(node, life) => {
-                if self.alive(node, life) {
+                if self.alive(node, life) && self.is_paused(node) {
+                    self.after(self.remaining_pause(node), Event::Free(node, life));
+                } else if self.alive(node, life) {
                     self.work_on(node);
                 }
             }
@@ -342,24 +357,39 @@
                     self.step(node, input);
                 }
             }
+            Event::State(node, life, id, sent, call) if self.is_held_back(node, life) => {
+                let (delay, sent) = (self.remaining_pause(node), self.sending_time(node, sent));
+                self.after(delay, Event::State(node, life, id, sent, call));
+            }
             Event::State(node, life, id, sent, call) => self.call_store(node, life, id, sent, call),
             Event::LateTransaction(call) => {
                 self.store.call(&call, self.now);
             }
             Event::Watch(node, life, after) => self.watch(node, life, after),
+            Event::RetryWatch(node, life, after) => self.retry_watch(node, life, after),
             Event::Cloud(node, life, id, call) => {
                 let answer = self.cloud.call(&call, self.now);
                 self.boot_machines();
                 let hop = 40 + self.hop();
                 self.after(hop, Event::Input(node, life, Input::Cloud(id, answer)));
             }
+            Event::Direct(node, life, id, body, late) if self.is_held_back(node, life) => {
+                let delay = self.remaining_pause(node);
+                self.after(delay, Event::Direct(node, life, id, body, late));
+            }
             Event::Direct(node, life, id, body, late) => self.direct(node, life, id, body, late),
+            Event::Heartbeat(from, to, life, heartbeat) if self.is_held_back(from, life) => {
+                let delay = self.remaining_pause(from);
+                self.after(delay, Event::Heartbeat(from, to, life, heartbeat));
+            }
             Event::Heartbeat(from, to, life, heartbeat) => {
                 if self.alive(from, life)
                     && self.nodes[to].process.is_some()
                     && self.connected(from, to)
                 {
-                    let req = self.ask(to, Requester::Heartbeat(from, self.clock(from).time));
+                    let sender = Requester::Heartbeat(from, self.clock(from).time);
+                    let gives_up = self.outlasts(to, pauses::PEER_TIMEOUT_MS);
+                    let req = self.ask(to, if gives_up { Requester::Nobody } else { sender });
                     self.step(to, Input::Heartbeat(req, heartbeat));
                 }
             }
@@ -368,7 +398,13 @@
                     let input = Input::ForwardReply(req, None);
                     return self.after(500, Event::Input(from, life, input));
                 }
-                let forwarded = self.ask(to, Requester::Peer(from, req));
+                let mut sender = Requester::Peer(from, req);
+                if self.outlasts(to, pauses::PEER_TIMEOUT_MS) {
+                    let input = Input::ForwardReply(req, None);
+                    self.after(pauses::PEER_TIMEOUT_MS, Event::Input(from, life, input));
+                    sender = Requester::Nobody;
+                }
+                let forwarded = self.ask(to, sender);
                 let any = SenderVersion::KnowsDependencies;
                 let (request, sender) = match forward {
                     Forward::Submit(text) => {
@@ -427,6 +463,8 @@
                 let back = self.rng.random_range(100..2_000);
                 self.come_back_as(node, NodeVersion::Current, back);
             }
+            Event::Resume(node, life) => self.resume(node, life),
+            Event::OutageSpell(until) => self.next_outage_spell(until),
             Event::Restart(node) => {
                 if self.nodes[node].process.is_none() {
                     self.start(node);
--- a/crates/core/tests/sim/world/nodes.rs
+++ b/crates/core/tests/sim/world/nodes.rs
@@ -8,6 +8,7 @@
         self.nodes[node].life += 1;
         self.nodes[node].requesters.clear();
         self.nodes[node].work.forget();
+        self.nodes[node].pause = pauses::Pause::default();
         let life = self.nodes[node].life;
         self.after(1, Event::Tick(node, life));
     }
@@ -64,7 +65,9 @@
     }
 
     pub(super) fn step(&mut self, node: usize, input: Input) {
-        if self.scenario.steps_take_time {
+        if self.is_paused(node) {
+            self.wait_for_resume(node, input);
+        } else if self.scenario.steps_take_time {
             self.enqueue(node, input);
         } else {
             self.step_now(node, input);
@@ -170,6 +173,9 @@
     /// The node that leads, as any node knows it.
     pub fn leader(&mut self) -> Option<usize> {
         (0..self.scenario.nodes).find(|&node| {
+            if self.is_paused(node) {
+                return false;
+            }
             let (_, body) = self.admin(node, AdminRequest::Overview);
             body["leads"] == true
         })
--- a/crates/core/tests/sim/world/peer_messages.rs
+++ b/crates/core/tests/sim/world/peer_messages.rs
@@ -13,6 +13,7 @@
         let name = self.settings[to].node.clone();
         let lost = self.random_faults && self.rng.random_bool(0.02);
         let gone = self.nodes[to].process.is_none() || !self.connected(from, to);
+        let lost = lost || self.outlasts(to, pauses::PEER_TIMEOUT_MS);
         if lost && !gone {
             // It arrives, and the answer is lost.
             let req = self.ask(to, Requester::Nobody);
@@ -52,6 +53,7 @@
     ) {
         let lost = self.random_faults && self.rng.random_bool(0.02);
         let gone = self.nodes[to].process.is_none() || !self.connected(from, to);
+        let lost = lost || self.outlasts(to, processor_time::BATCH_WAITS_MS);
         if lost || gone {
             if lost && !gone {
                 // The reports arrive, and the answer is lost.
--- a/crates/core/tests/sim/world/store_calls.rs
+++ b/crates/core/tests/sim/world/store_calls.rs
@@ -121,6 +121,10 @@
             return self.after(1, Event::Input(node, life, Input::WatchLost));
         }
         match (!cut).then(|| self.store.since(after)).flatten() {
+            Some(_) if self.watch_runs_out(node) => {
+                let delay = self.watch_retry_delay(node);
+                self.after(delay, Event::RetryWatch(node, life, after))
+            }
             Some((revision, events)) => {
                 let hop = self.hop();
                 self.after(
