What a leader acts on is logged: its lease, how old its cache may be, pauses of the process

Cause: the logs of the incident can't tell what the leader knew when it started tasks of cancelled jobs: not when its lease was last renewed, nor up to which revision it had read the store, nor when. Change: an answer of the watch carries when its call was sent, and the cache keeps up to which revision it is complete and when that was surely the newest one. Overview: cache (revision, confirmed_ms_ago) and pauses (count, last_ms). Nothing is decided by them.

--- a/crates/controller/src/outgoing/mod.rs
+++ b/crates/controller/src/outgoing/mod.rs
@@ -47,7 +47,7 @@
         Ok(Self {
             open_requests,
             store: StoreQueues::start(settings.services.state, clock, core)?,
-            watch: WatchQueue::start(settings, core)?,
+            watch: WatchQueue::start(settings, clock, core)?,
             cloud: CloudQueue::start(settings.services.cloud, core)?,
             agents: AgentQueues::start(limits, core)?,
             peers: PeerQueues::start(settings, clock, core)?,
--- a/crates/controller/src/outgoing/watch.rs
+++ b/crates/controller/src/outgoing/watch.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::http_client::{http_client, CallLimits};
 use crate::clients::store::{watch_store, WatchReply};
+use crate::clock::Clock;
 use crate::input_queues::InputSender;
 use crate::startup_error::StartupError;
 use crate::threads::{spawn, ThreadRole};
@@ -33,10 +34,15 @@
 pub(super) struct WatchQueue(pub(super) Sender<Version>);
 
 impl WatchQueue {
-    pub(super) fn start(settings: &Settings, core: &InputSender) -> Result<Self, StartupError> {
+    pub(super) fn start(
+        settings: &Settings,
+        clock: Clock,
+        core: &InputSender,
+    ) -> Result<Self, StartupError> {
         let watch = StoreWatch {
             client: http_client(CallLimits::new(CONNECT_TIMEOUT, CALL_TIMEOUT)),
             addr: settings.services.state,
+            clock,
             pause: pause_between_watches(settings),
         };
         let (sender, revisions) = bounded::<Version>(QUEUE);
@@ -63,6 +69,7 @@
 struct StoreWatch {
     client: Agent,
     addr: SocketAddrV4,
+    clock: Clock,
     pause: Duration,
 }
 
@@ -70,9 +77,16 @@
     /// Waits until something has changed, or the watch has lost its place.
     fn next_change(&self, mut after: Version) -> Input {
         loop {
+            let sent_at = self.clock.time();
             match watch_store(&self.client, self.addr, WATCHED_PREFIX, after) {
                 WatchReply::Events(e) if e.events.is_empty() => after = e.revision.max(after),
-                WatchReply::Events(e) => return Input::Watched(e.revision, e.events),
+                WatchReply::Events(e) => {
+                    return Input::Watched {
+                        sent_at,
+                        revision: e.revision,
+                        events: e.events,
+                    }
+                }
                 WatchReply::Lost => return Input::WatchLost,
                 WatchReply::Failed => thread::sleep(RETRY_PAUSE),
             }
--- a/crates/core/src/api/admin/overview.rs
+++ b/crates/core/src/api/admin/overview.rs
@@ -3,7 +3,10 @@
 use crate::leader::Leader;
 use crate::metrics::LatencySummary;
 use crate::overload::fleet_limits::FleetLimits;
-use rudderreel_wire::ids::{Epoch, NodeName};
+use crate::overload::pauses::Pauses;
+use crate::store::confirmation::CacheConfirmation;
+use crate::units::Time;
+use rudderreel_wire::ids::{Epoch, NodeName, Version};
 use serde::Serialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -23,6 +26,10 @@
     pub state_service_answers: bool,
     /// Jobs in the node's cache.
     pub jobs_known: usize,
+    /// How old the node's cache may be.
+    pub cache: CacheAge,
+    /// When the whole process stood still.
+    pub pauses: PauseFigures,
     /// Records that could not be read since the node started.
     pub unreadable_records: u64,
     /// How many workers the nodes' connections suffice for.
@@ -36,6 +43,43 @@
     pub leader_view: LeaderOverview<'a>,
 }
 
+/// How old a node's cache may be.
+#[derive(Serialize)]
+pub struct CacheAge {
+    /// The revision of the state service up to which every change has been applied.
+    revision: Version,
+    /// Milliseconds since that was surely the newest one; null if changes may have been missed.
+    confirmed_ms_ago: Option<u64>,
+}
+
+impl CacheAge {
+    /// The age at a moment.
+    pub fn of(cache: CacheConfirmation, now: Time) -> Self {
+        Self {
+            revision: cache.revision(),
+            confirmed_ms_ago: cache.age(now).map(|age| age.0),
+        }
+    }
+}
+
+/// When the whole process stood still although its clock went on.
+#[derive(Serialize)]
+pub struct PauseFigures {
+    /// How often since it started.
+    count: u64,
+    /// Milliseconds of the last pause.
+    last_ms: u64,
+}
+
+impl From<Pauses> for PauseFigures {
+    fn from(pauses: Pauses) -> Self {
+        Self {
+            count: pauses.count(),
+            last_ms: pauses.last().0,
+        }
+    }
+}
+
 /// What only the leader knows. Without a leader all is null.
 #[derive(Default, Serialize)]
 pub struct LeaderOverview<'a> {
--- a/crates/core/src/cache/cache_sync.rs
+++ b/crates/core/src/cache/cache_sync.rs
@@ -62,15 +62,18 @@
 pub struct Listing {
     /// The revision of the first page, which the watch begins at.
     revision: Version,
+    /// When the call for the first page was sent.
+    sent_at: Time,
     /// Leaders' keys that were found.
     leader_keys: Vec<LeaderKey>,
 }
 
 impl Listing {
-    /// A listing that begins with a page.
-    pub fn beginning_with(page: &Page<Value>) -> Self {
+    /// A listing that begins with a page, the call for which was sent at a moment.
+    pub fn beginning_with(page: &Page<Value>, sent_at: Time) -> Self {
         Self {
             revision: page.revision,
+            sent_at,
             leader_keys: Vec::new(),
         }
     }
@@ -80,6 +83,11 @@
         self.revision
     }
 
+    /// When the call for the first page was sent: what was committed before is in the listing.
+    pub fn sent_at(&self) -> Time {
+        self.sent_at
+    }
+
     /// Applies a page to the cache. A leader's key that no page held does not exist.
     pub fn apply(&mut self, page: &Page<Value>, cache: &mut JobCache) {
         for item in &page.items {
--- a/crates/core/src/cache/job_cache.rs
+++ b/crates/core/src/cache/job_cache.rs
@@ -6,7 +6,9 @@
 use super::cancellations::CancellationIndex;
 use super::dependencies::DependencyGraph;
 use super::leader_keys::LeaderKeys;
+use crate::store::confirmation::CacheConfirmation;
 use crate::store::records::{JobRecord, WatermarkRecord};
+use crate::units::Time;
 use rudderreel_wire::admin::AdminSettings;
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{JobId, NodeName, Version};
@@ -46,6 +48,7 @@
     pub(super) leader_keys: LeaderKeys,
     /// Whether all watched keys have been listed, and the watch has not lost its place since.
     is_complete: bool,
+    confirmation: CacheConfirmation,
     /// Whether a job was seen whose user named dependencies.
     dependencies_seen: bool,
     /// Machine types as a leader has stored them, until they are taken.
@@ -101,6 +104,21 @@
     /// A listing of all watched keys has ended, or the watch has lost its place.
     pub fn set_complete(&mut self, is_complete: bool) {
         self.is_complete = is_complete;
+        if !is_complete {
+            self.confirmation.lose();
+        }
+    }
+
+    /// Up to which revision the cache is complete, and when that was surely still the newest one.
+    pub fn confirmation(&self) -> CacheConfirmation {
+        self.confirmation
+    }
+
+    /// Every change up to a revision has been applied, as the answer to a call showed that was sent at a moment.
+    pub fn confirm(&mut self, revision: Version, sent_at: Time) {
+        if self.is_complete {
+            self.confirmation.confirm(revision, sent_at);
+        }
     }
 
     /// Jobs that changed since this was last called.
--- a/crates/core/src/dispatch/commands.rs
+++ b/crates/core/src/dispatch/commands.rs
@@ -56,10 +56,37 @@
                 other => commands.extend(other),
             }
         }
+        self.log_commands(id, &commands, delivery, now);
         self.mark_starts_sent(id, &commands, delivery);
         commands
     }
 
+    /// Names each start and stop with what it was allowed on.
+    fn log_commands(&self, id: &MachineId, commands: &[Command], delivery: Delivery, now: Time) {
+        if commands.is_empty() || !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let right = format!(
+            "epoch={} lease_left_ms={} {} delivery={delivery:?}",
+            self.term.epoch(),
+            self.term.lease_left(now).0,
+            self.term.cache().log_fields(now)
+        );
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => log::debug!(
+                    "start sent job={} task={task} attempt={attempt} machine={id} {right}",
+                    task.job
+                ),
+                Command::Stop { task, attempt, .. } => log::debug!(
+                    "stop sent job={} task={task} attempt={attempt} machine={id} {right}",
+                    task.job
+                ),
+                Command::Forget { .. } => {}
+            }
+        }
+    }
+
     fn command_for(
         &self,
         machine: &Machine,
--- a/crates/core/src/io/mod.rs
+++ b/crates/core/src/io/mod.rs
@@ -201,8 +201,15 @@
         /// The answer.
         answer: StoreAnswer,
     },
-    /// Changes seen by the watch; the next watch starts after the revision.
-    Watched(Version, Vec<Event<Value>>),
+    /// Changes seen by the watch.
+    Watched {
+        /// When the call was sent that brought them.
+        sent_at: Time,
+        /// The revision up to which there are no others.
+        revision: Version,
+        /// The changes.
+        events: Vec<Event<Value>>,
+    },
     /// The watch has lost its place; everything must be read again.
     WatchLost,
     /// The cloud's answer.
--- a/crates/core/src/leadership/term.rs
+++ b/crates/core/src/leadership/term.rs
@@ -13,6 +13,7 @@
 use super::quorum::QuorumTracker;
 use super::version_gate::VersionGateStep;
 use crate::io::Value;
+use crate::store::confirmation::CacheConfirmation;
 use crate::store::records::{LeaderKey, LeaderRecord, SegmentId};
 use crate::store::transactions::condition;
 use crate::units::{Span, Time};
@@ -39,6 +40,8 @@
     lease_id: LeaseId,
     /// Until when the lease is surely alive.
     lease_until: Time,
+    /// How old the node's cache may be.
+    cache: CacheConfirmation,
     /// The leader's key, on whose version every write depends.
     key: LeaderKey,
     key_version: Version,
@@ -64,6 +67,7 @@
             epoch: win.epoch,
             lease_id: win.lease,
             lease_until: lease_alive_until(win.lease_sent),
+            cache: CacheConfirmation::default(),
             key: win.key,
             key_version: win.version,
             epoch_version: win.version,
@@ -123,6 +127,21 @@
         self.lease_until = self.lease_until.max(lease_alive_until(sent));
     }
 
+    /// How long the lease is surely alive yet.
+    pub fn lease_left(&self, now: Time) -> Span {
+        self.lease_until - now
+    }
+
+    /// The node's cache has been confirmed.
+    pub fn cache_confirmed(&mut self, cache: CacheConfirmation) {
+        self.cache = cache;
+    }
+
+    /// How old the node's cache may be.
+    pub fn cache(&self) -> CacheConfirmation {
+        self.cache
+    }
+
     /// Whether it surely leads by its lease. Only then does it start tasks or scale out.
     pub fn is_lease_valid(&self, now: Time) -> bool {
         now < self.lease_until
--- a/crates/core/src/node/administration.rs
+++ b/crates/core/src/node/administration.rs
@@ -2,7 +2,7 @@
 
 use crate::api::admin::jobs::JobView;
 use crate::api::admin::machines::MachinesPage;
-use crate::api::admin::overview::{LeaderOverview, Overview};
+use crate::api::admin::overview::{CacheAge, LeaderOverview, Overview};
 use crate::api::admin::settings;
 use crate::api::admin::stops::RecentStops;
 use crate::api::admin::teams::TeamsView;
@@ -167,6 +167,8 @@
             leads: leader.is_some(),
             state_service_answers: self.election.store_reachable(now.time),
             jobs_known: self.job_cache.job_count(),
+            cache: CacheAge::of(self.job_cache.confirmation(), now.time),
+            pauses: self.pauses.into(),
             unreadable_records: self.job_cache.unreadable_records(),
             connections_for: self.fleet_limits,
             backlog: self.backlog.summary(now.time),
--- a/crates/core/src/node/cache_sync.rs
+++ b/crates/core/src/node/cache_sync.rs
@@ -6,16 +6,19 @@
 use crate::node::Node;
 use crate::store::calls::CallPriority;
 use crate::store::records::WATCHED_PREFIX;
-use crate::units::Now;
+use crate::units::{Now, Time};
 use rudderreel_wire::ids::Version;
 use rudderreel_wire::job::JobState;
-use rudderreel_wire::state::Event;
+use rudderreel_wire::state::Events;
 
 impl Node {
     /// The watch has lost its place. Until everything has been listed again the cache may lack changes; the tick
     /// repeats a listing that fails.
     pub(super) fn watch_lost(&mut self) {
         self.job_cache.set_complete(false);
+        if let Some(leader) = self.leader.as_mut() {
+            leader.term.cache_confirmed(self.job_cache.confirmation());
+        }
         self.begin_cache_sync();
     }
 
@@ -41,45 +44,53 @@
     pub(super) fn cache_sync_page_answered(
         &mut self,
         listing: Option<Listing>,
+        sent: Time,
         answer: StoreAnswer,
         now: Now,
     ) {
         let StoreAnswer::Page(page) = answer else {
             return self.cache_sync.retry_later(now.time);
         };
-        let mut listing = listing.unwrap_or_else(|| Listing::beginning_with(&page));
+        let mut listing = listing.unwrap_or_else(|| Listing::beginning_with(&page, sent));
         listing.apply(&page, &mut self.job_cache);
         self.apply_cached_settings(now);
         match page.items.last() {
             Some(last) if page.more => {
                 self.request_listing_page(Some(listing), Some(last.key.clone()))
             }
-            _ => self.complete_cache_sync(listing.revision()),
+            _ => self.complete_cache_sync(&listing),
         }
     }
 
-    fn complete_cache_sync(&mut self, revision: Version) {
+    fn complete_cache_sync(&mut self, listing: &Listing) {
+        let revision = listing.revision();
         self.cache_sync.complete();
         self.job_cache.set_complete(true);
+        self.cache_confirmed(revision, listing.sent_at());
         self.advance_cancellation_watermark(revision);
         self.out.push(Output::Watch(revision));
     }
 
     /// Applies the changes that the watch has seen up to a revision, and watches on from there.
-    pub(super) fn watch_events_received(
-        &mut self,
-        revision: Version,
-        events: Vec<Event<Value>>,
-        now: Now,
-    ) {
-        for event in &events {
+    pub(super) fn watch_events_received(&mut self, sent: Time, changes: Events<Value>, now: Now) {
+        let revision = changes.revision;
+        for event in &changes.events {
             self.job_cache.apply_event(event);
         }
+        self.cache_confirmed(revision, sent);
         self.apply_cached_settings(now);
         self.advance_cancellation_watermark(revision);
         self.out.push(Output::Watch(revision));
     }
 
+    /// The cache holds every change up to a revision, as the answer to a call showed that was sent at a moment.
+    fn cache_confirmed(&mut self, revision: Version, sent: Time) {
+        self.job_cache.confirm(revision, sent);
+        if let Some(leader) = self.leader.as_mut() {
+            leader.term.cache_confirmed(self.job_cache.confirmation());
+        }
+    }
+
     /// Takes over what the cache has read for other parts of the node.
     fn apply_cached_settings(&mut self, now: Now) {
         if let Some(catalog) = self.job_cache.take_catalog() {
@@ -105,6 +116,8 @@
             };
             leader.update_job(id, known.version, &known.record);
             if known.record.state == JobState::Cancelled {
+                let version = known.version;
+                log::debug!("cancellation applied job={id} version={version}");
                 leader.stop_ended_job(id, now.time);
             }
             leader.request_cycle(now.time);
--- a/crates/core/src/node/direct_calls.rs
+++ b/crates/core/src/node/direct_calls.rs
@@ -32,6 +32,12 @@
             return self.refuse(req, Refusal::NotEntitled);
         };
         let token = leader.term.epoch();
+        if !leader.term.is_lease_valid(now.time) {
+            log::debug!(
+                "report answered by lease votes machine={} epoch={token}",
+                report.machine
+            );
+        }
         if commands.is_empty() {
             if let Some(peer) = self.peer_for_report(&report.machine, now.time) {
                 return self.redirect_agent(req, Some(peer));
@@ -44,6 +50,10 @@
     fn answer_report_without_leader(&mut self, req: ReqId, report: &StatusReport, now: Now) {
         let epoch = self.election.epoch();
         if self.election.stands_in_for_leader(now.time) && report.token <= epoch {
+            log::debug!(
+                "report answered for the leader machine={} epoch={epoch}",
+                report.machine
+            );
             let reply = StatusReportReply {
                 token: epoch,
                 commands: self.job_cache.stops_for_cancelled_tasks(report),
--- a/crates/core/src/node/election.rs
+++ b/crates/core/src/node/election.rs
@@ -51,7 +51,7 @@
         now: Now,
     ) {
         if let (ElectionCall::Renew(lease), StoreAnswer::Done) = (&call, &answer) {
-            self.lease_renewed(*lease, sent);
+            self.lease_renewed(*lease, sent, now.time);
         }
         let progress = self.election.answered(now.time, sent, call, answer);
         if let Some(request) = progress.request {
@@ -67,18 +67,33 @@
         }
     }
 
-    fn lease_renewed(&mut self, lease: LeaseId, sent: Time) {
-        if let Some(leader) = self.leader.as_mut() {
-            if leader.term.lease_id() == lease {
-                leader.term.lease_renewed(sent);
-            }
+    fn lease_renewed(&mut self, lease: LeaseId, sent: Time, now: Time) {
+        let term = (self.leader.as_mut()).map(|leader| &mut leader.term);
+        let Some(term) = term.filter(|term| term.lease_id() == lease) else {
+            return;
+        };
+        let had_lapsed = !term.is_lease_valid(now);
+        term.lease_renewed(sent);
+        if had_lapsed && term.is_lease_valid(now) {
+            log::info!(
+                "lease renewed after it had lapsed epoch={} sent_ms_ago={} {}",
+                term.epoch(),
+                (now - sent).0,
+                term.cache().log_fields(now)
+            );
         }
     }
 
     /// Begins a term, with the recovery of the state.
     fn become_leader(&mut self, win: ElectionWin, now: Now) {
-        log::info!("became leader epoch={}", win.epoch);
+        log::info!(
+            "became leader epoch={} lease={} {}",
+            win.epoch,
+            win.lease.0,
+            self.job_cache.confirmation().log_fields(now.time)
+        );
         let mut leader = Leader::new(&self.settings, self.tree.clone(), win, now.time);
+        leader.term.cache_confirmed(self.job_cache.confirmation());
         (leader.policy).apply(self.tree.clone(), &self.admin_settings.settings);
         leader.store_limits = self.limits;
         let seen = std::mem::take(&mut self.leader_partitioned_zones);
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -42,6 +42,7 @@
 use crate::overload::backlog::Backlog;
 use crate::overload::fleet_limits::FleetLimits;
 use crate::overload::pacing::{LongStep, Pacing};
+use crate::overload::pauses::Pauses;
 use crate::overload::processor_share::ProcessorShare;
 use crate::store::calls::StoreCalls;
 use crate::store::limits::StoreLimits;
@@ -51,6 +52,7 @@
 use rudderreel_wire::cloud::Catalog;
 use rudderreel_wire::ids::{JobId, NodeName, Version, Zone};
 use rudderreel_wire::settings::Settings;
+use rudderreel_wire::state::Events;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -116,6 +118,8 @@
     pacing: Pacing,
     /// Whether this node keeps up.
     backlog: Backlog,
+    /// When this process stood still.
+    pauses: Pauses,
 
     /// What the present step has to send, write and answer.
     out: Vec<Output>,
@@ -180,6 +184,7 @@
             next_reconcile_at: Time(0),
             pacing: Pacing::default(),
             backlog: Backlog::default(),
+            pauses: Pauses::default(),
             last_report_at: None,
             peers_reached_since: None,
             out: Vec::new(),
@@ -224,7 +229,11 @@
                 sent_at,
                 answer,
             } => self.store_call_answered(call, sent_at, answer, now),
-            Input::Watched(revision, events) => self.watch_events_received(revision, events, now),
+            Input::Watched {
+                sent_at,
+                revision,
+                events,
+            } => self.watch_events_received(sent_at, Events { revision, events }, now),
             Input::WatchLost => self.watch_lost(),
             Input::Cloud(id, answer) => self.cloud_answer(id, answer, now),
             Input::Direct {
@@ -258,6 +267,7 @@
 
     /// Does what is due by the time.
     fn tick(&mut self, now: Now) {
+        self.pauses.tick(now.time);
         self.begin_cache_sync_if_due(now);
         self.backlog.update_load(now.time);
         self.election_tick(now);
--- a/crates/core/src/node/pending_call.rs
+++ b/crates/core/src/node/pending_call.rs
@@ -83,7 +83,9 @@
         };
         match purpose {
             PendingCall::Election(call) => self.election_call_answered(call, sent, answer, now),
-            PendingCall::CacheSync(listing) => self.cache_sync_page_answered(listing, answer, now),
+            PendingCall::CacheSync(listing) => {
+                self.cache_sync_page_answered(listing, sent, answer, now)
+            }
             PendingCall::User(call) => self.user_call_answered(call, answer, now),
             PendingCall::Leader(term, call) => {
                 if self.is_leading_in(term) {
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -7,6 +7,8 @@
 //! | what can wait, how many agents the node asks for, whether it goes on leading | how long its inputs wait | [`backlog`] |
 //! | connections of users, agents and peers, and the fleet that these carry | the sockets that the process may open | [`fleet_limits`] |
 //!
+//! [`pauses`] only records when the whole process stood still.
+//!
 //! Limits of other programs stand with the calls to them: the store's in [`store::limits`](crate::store::limits), the
 //! cloud's in [`cloud::calls`](crate::cloud::calls).
 //!
@@ -16,4 +18,5 @@
 pub mod backlog;
 pub mod fleet_limits;
 pub mod pacing;
+pub mod pauses;
 pub mod processor_share;
--- a/crates/core/tests/sim/user_answers.rs
+++ b/crates/core/tests/sim/user_answers.rs
@@ -58,6 +58,15 @@
         self.out.extend(self.node.step(input, now));
     }
 
+    /// The watch shows a change.
+    fn watch_shows(&mut self, revision: u64, event: Event<Value>) {
+        self.step(Input::Watched {
+            sent_at: self.world.clock_of(0).time,
+            revision: Version(revision),
+            events: vec![event],
+        });
+    }
+
     fn wait(&mut self, ms: u64) {
         for _ in 0..ms / 20 {
             self.world.now += 19;
@@ -114,7 +123,7 @@
             value: record,
             version: Version(version),
         };
-        self.step(Input::Watched(Version(version), vec![event]));
+        self.watch_shows(version, event);
     }
 
     /// Everybody else knows everything up to a revision.
@@ -211,7 +220,7 @@
         value: catalog,
         version: Version(11),
     };
-    node.step(Input::Watched(Version(11), vec![event]));
+    node.watch_shows(11, event);
     node.ask(1, UserRequest::Submit(Box::new(replicas(1, 2))));
     let create = node.expect(|c| matches!(c, StoreCall::Commit(t) if !t.changes.is_empty()));
     node.watched(&id(), 31, record("aborted"));
@@ -272,7 +281,7 @@
         value: json!({"known_to": 22, "asks": 0}),
         version: Version(23),
     };
-    node.step(Input::Watched(Version(23), vec![event]));
+    node.watch_shows(23, event);
     node.wait(20);
     node.ask(2, UserRequest::Status(id()));
     assert_eq!(node.told(2).expect("an answer").1["bearing"], "aborted");
--- a/crates/core/tests/sim/world/costs.rs
+++ b/crates/core/tests/sim/world/costs.rs
@@ -78,7 +78,7 @@
         }
         Input::ForwardReply(..) => "reply to a user",
         Input::State { .. } => "state service",
-        Input::Watched(..) | Input::WatchLost => "watch",
+        Input::Watched { .. } | Input::WatchLost => "watch",
         Input::Cloud(..) => "cloud",
         Input::Direct { .. } => "direct call",
     }
--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -79,7 +79,8 @@
     Input(usize, u32, Input),
     State(usize, u32, CallId, Time, rudderreel_core::StoreCall),
     LateTransaction(rudderreel_core::StoreCall),
-    Watch(usize, u32, Version),
+    /// A watch after a revision, and when it was sent.
+    Watch(usize, u32, Version, Time),
     /// A watch is begun again that has run out of time.
     RetryWatch(usize, u32, Version),
     Cloud(usize, u32, CallId, rudderreel_core::CloudCall),
@@ -365,7 +366,7 @@
             Event::LateTransaction(call) => {
                 self.store.call(&call, self.now);
             }
-            Event::Watch(node, life, after) => self.watch(node, life, after),
+            Event::Watch(node, life, after, sent) => self.watch(node, life, after, sent),
             Event::RetryWatch(node, life, after) => self.retry_watch(node, life, after),
             Event::Cloud(node, life, id, call) => {
                 let answer = self.cloud.call(&call, self.now);
--- a/crates/core/tests/sim/world/nodes.rs
+++ b/crates/core/tests/sim/world/nodes.rs
@@ -108,7 +108,7 @@
                 Output::State(id, call) => {
                     self.after(hop, Event::State(node, life, id, now.time, call))
                 }
-                Output::Watch(after) => self.after(hop, Event::Watch(node, life, after)),
+                Output::Watch(after) => self.after(hop, Event::Watch(node, life, after, now.time)),
                 Output::Cloud(id, call) if self.asks_cloud(node, &call) => {
                     self.after(hop, Event::Cloud(node, life, id, call))
                 }
--- a/crates/core/tests/sim/world/old_version.rs
+++ b/crates/core/tests/sim/world/old_version.rs
@@ -71,10 +71,15 @@
                 answer: StoreAnswer::Page(page),
             }
         }
-        Input::Watched(revision, events) => {
-            let events = events.into_iter().filter_map(read_event).collect();
-            Input::Watched(revision, events)
-        }
+        Input::Watched {
+            sent_at,
+            revision,
+            events,
+        } => Input::Watched {
+            sent_at,
+            revision,
+            events: events.into_iter().filter_map(read_event).collect(),
+        },
         other => other,
     }
 }
--- a/crates/core/tests/sim/world/pauses.rs
+++ b/crates/core/tests/sim/world/pauses.rs
@@ -140,7 +140,8 @@
         if is_refused {
             self.after(WATCH_RETRY_MS, Event::RetryWatch(node, life, after));
         } else {
-            self.watch(node, life, after);
+            let sent = self.clock(node).time;
+            self.watch(node, life, after, sent);
         }
     }
 
--- a/crates/core/tests/sim/world/store_calls.rs
+++ b/crates/core/tests/sim/world/store_calls.rs
@@ -111,7 +111,7 @@
         assert!(sent <= *first, "sent again though it was rejected: {text}");
     }
 
-    pub(super) fn watch(&mut self, node: usize, life: u32, after: Version) {
+    pub(super) fn watch(&mut self, node: usize, life: u32, after: Version, sent: Time) {
         if !self.alive(node, life) {
             return;
         }
@@ -129,10 +129,18 @@
                 let hop = self.hop();
                 self.after(
                     hop,
-                    Event::Input(node, life, Input::Watched(revision, events)),
+                    Event::Input(
+                        node,
+                        life,
+                        Input::Watched {
+                            sent_at: sent,
+                            revision,
+                            events,
+                        },
+                    ),
                 );
             }
-            None => self.after(20, Event::Watch(node, life, after)),
+            None => self.after(20, Event::Watch(node, life, after, sent)),
         }
     }
 }
