A start that waits in the process through a pause is sent late all the same (red)

Cause: found while looking for other paths with the flaw of the incident, a right that had lapsed by the time that it was used: a start is checked in a step of the core, and sent by another thread. If the process stands still between the two, the command goes out as it is when the process goes on. Other nodes that stood in for the leader in an outage have kept the agent's lease and token. Change: the simulated world counts a start as ran_cancelled, too, that an agent carries out after the time by which the task had to be gone (the rule says so; only tasks on machines were looked at). Decision trace unchanged.

--- a/crates/core/tests/sim/paused_nodes.rs
+++ b/crates/core/tests/sim/paused_nodes.rs
@@ -1,13 +1,16 @@
 //! Processes that stand still while their clocks run on, alone and together with other faults.
 
-use super::cancellations_in_outages::play_until_running;
+use super::cancellations_in_outages::{play_until_running, replicas};
 use super::unfinished;
 use super::world::Fault::{self, *};
 use super::world::{Scenario, UserAction, World};
 use rudderreel_wire::ids::JobId;
+use rudderreel_wire::job::{Kind, Priority};
 
 /// How much longer than cancelled tasks may remain the leader stands still.
 const PAUSE_BEYOND_CANCEL_MS: u64 = 4_000;
+/// A job that was submitted is started within this time.
+const START_WITHIN_MS: u64 = 10_000;
 /// The store answers again shortly before it goes on.
 const OUTAGE_ENDS_BEFORE_MS: u64 = 50;
 
@@ -68,6 +71,44 @@
     assert_eq!(world.on_machines(&ids[2]), 2, "others run again");
 }
 
+/// A leader's process stopped between the step that decided on a start and the sending of it. Its user cancelled the job
+/// at another node right afterwards and was told so; then the store was down for the whole pause, and other nodes stood
+/// in for the leader, so that the agents' leases went on under the same token. When the process went on it sent the
+/// start as it was, and the agent, whose token and incarnation still matched, carried it out long after the task had to
+/// be gone. The check of a start was right when it was made, and nothing looked at the time again before the sending.
+#[test]
+fn a_start_that_was_held_up_in_the_process_is_not_sent_late() {
+    for seed in 1_400..1_412 {
+        println!("seed {seed}");
+        pause_while_starting(seed);
+    }
+}
+
+fn pause_while_starting(seed: u64) {
+    let nodes = 5;
+    let (mut world, _, leader) = play_until_running(seed, nodes, false);
+    let mut spec = replicas(9, 2);
+    (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
+    let id = spec.id.clone();
+    world.add_job(spec);
+    let started_before = world.start_commands;
+    world.user_asks(leader, &id, UserAction::Submit);
+    let latest = world.now + START_WITHIN_MS;
+    while world.start_commands == started_before {
+        assert!(world.now < latest, "no start is sent");
+        world.run_until(world.now + 1);
+    }
+    let pause_ends = world.now + world.cancel_ms() + PAUSE_BEYOND_CANCEL_MS;
+    world.pause(leader, pause_ends);
+    let canceller = (leader + 1) % nodes;
+    cancel_until_told(&mut world, canceller, &id, pause_ends);
+    world.store.set_down(true, world.now);
+    world.run_until(pause_ends + 5_000);
+    world.end_faults();
+    world.run_until(world.now + 60_000);
+    assert_eq!(world.on_machines(&id), 0);
+}
+
 /// What comes together with pauses.
 const DAYS: [&[Fault]; 6] = [
     &[LeaderPauses, NodePauses],
--- a/crates/core/tests/sim/world/agents.rs
+++ b/crates/core/tests/sim/world/agents.rs
@@ -89,6 +89,15 @@
         let done = body.token >= agent.token && body.incarnation == agent.incarnation;
         if done {
             agent.token = body.token;
+            let late = self.late_starts(&body.commands);
+            for task in late {
+                self.breaks("ran_cancelled", &task);
+            }
+        }
+        let Some(agent) = self.agents.get_mut(&id) else {
+            return;
+        };
+        if done {
             for command in &body.commands {
                 agent.obey(command, &self.jobs, self.now);
             }
--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -163,6 +163,8 @@
     next_invalid: u32,
     pub random_faults: bool,
     pub starts: u32,
+    /// Starts that nodes have sent.
+    pub start_commands: u32,
     scenario: Scenario,
     state_slow_until: u64,
     outage_spells_until: u64,
@@ -263,6 +265,7 @@
             next_invalid: 0,
             random_faults: false,
             starts: 0,
+            start_commands: 0,
             state_slow_until: 0,
             outage_spells_until: 0,
             late_writes_until: 0,
--- a/crates/core/tests/sim/world/rule_checks.rs
+++ b/crates/core/tests/sim/world/rule_checks.rs
@@ -3,10 +3,27 @@
 use super::*;
 
 impl World {
+    /// Tasks that commands start although they had to be gone by now, since their jobs are cancelled.
+    pub(super) fn late_starts(&self, commands: &[Command]) -> Vec<String> {
+        let is_late = |id: &JobId| {
+            let cancelled = self.cancelled_since(id);
+            cancelled.is_some_and(|at| self.now > at + self.scenario.cancel_ms())
+        };
+        let started = commands.iter().filter_map(|command| match command {
+            Command::Start { task, .. } => Some(task),
+            _ => None,
+        });
+        started
+            .filter(|task| is_late(&task.job))
+            .map(|task| format!("{task} is started"))
+            .collect()
+    }
+
     /// Notes starts of jobs whose users were told that they are cancelled.
     pub(super) fn note_starts(&mut self, commands: &[Command]) {
         for command in commands {
             if let Command::Start { task, .. } = command {
+                self.start_commands += 1;
                 let told = self.jobs.get(&task.job).and_then(|t| t.cancelled_at);
                 if let Some(at) = told {
                     self.starts_after_cancellation
