A direct call with a start is sent only while the right lasts that it was checked by

Change: a direct call that holds a start carries until when its leader may act (Term::may_act_until); the sending thread answers it as not called once that has passed, and the answer to the agent's next report repeats the start after a check of its own. Calls with stops only, and probes, have no bound.

--- a/crates/controller/src/outgoing/agents.rs
+++ b/crates/controller/src/outgoing/agents.rs
@@ -3,15 +3,18 @@
 
 use crate::clients::agents::call_agent;
 use crate::clients::http_client::{http_client, CallLimits};
+use crate::clock::Clock;
 use crate::input_queues::InputSender;
 use crate::process_limits::ProcessLimits;
 use crate::startup_error::StartupError;
 use crate::threads::{spawn_pool, PoolSize, ThreadRole};
 use crossbeam_channel::Sender;
+use rudderreel_core::units::Time;
 use rudderreel_core::{DirectOutcome, Input};
 use rudderreel_wire::ids::MachineId;
 use rudderreel_wire::worker::DirectCommands;
 use std::time::Duration;
+use ureq::Agent;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,9 +23,38 @@
 
 /// A call to an agent.
 pub(super) struct AgentCall {
-    machine: MachineId,
-    addr: String,
-    commands: DirectCommands,
+    pub(super) machine: MachineId,
+    pub(super) addr: String,
+    pub(super) commands: DirectCommands,
+    /// Until when it may be sent, if there is a bound.
+    pub(super) send_until: Option<Time>,
+}
+
+impl AgentCall {
+    /// Makes the call, unless it is too late: the process may have stood still since the core decided on it.
+    fn make(self, client: &Agent, now: Time) -> Input {
+        if self.is_too_late(now) {
+            log::info!(
+                "direct call dropped, it is too late machine={}",
+                self.machine
+            );
+            return self.ended(DirectOutcome::NotCalled);
+        }
+        let outcome = call_agent(client, &self.addr, &self.commands);
+        self.ended(outcome)
+    }
+
+    fn is_too_late(&self, now: Time) -> bool {
+        self.send_until.is_some_and(|until| now >= until)
+    }
+
+    fn ended(self, outcome: DirectOutcome) -> Input {
+        Input::Direct {
+            machine: self.machine,
+            commands: self.commands,
+            outcome,
+        }
+    }
 }
 
 /// Queues of calls to agents.
@@ -32,7 +64,11 @@
 }
 
 impl AgentQueues {
-    pub(super) fn start(limits: &ProcessLimits, core: &InputSender) -> Result<Self, StartupError> {
+    pub(super) fn start(
+        limits: &ProcessLimits,
+        clock: Clock,
+        core: &InputSender,
+    ) -> Result<Self, StartupError> {
         let start = |role: ThreadRole, threads: usize| {
             let size = PoolSize {
                 threads,
@@ -43,12 +79,7 @@
                 ..CallLimits::new(CONNECT_TIMEOUT, CALL_TIMEOUT)
             });
             spawn_pool(role, size, core, move |call: AgentCall| {
-                let outcome = call_agent(&client, &call.addr, &call.commands);
-                Some(Input::Direct {
-                    machine: call.machine,
-                    commands: call.commands,
-                    outcome,
-                })
+                Some(call.make(&client, clock.time()))
             })
         };
         Ok(Self {
@@ -58,28 +89,16 @@
     }
 
     /// Queues a call. If there is no room, returns its answer.
-    pub(super) fn send(
-        &self,
-        machine: MachineId,
-        addr: String,
-        commands: DirectCommands,
-    ) -> Option<Input> {
-        let queue = if commands.commands.is_empty() {
+    pub(super) fn send(&self, call: AgentCall) -> Option<Input> {
+        let queue = if call.commands.commands.is_empty() {
             &self.probes
         } else {
             &self.commands
         };
-        let call = AgentCall {
-            machine,
-            addr,
-            commands,
-        };
         let call = queue.try_send(call).err()?.into_inner();
-        let outcome = DirectOutcome::NotCalled;
-        Some(Input::Direct {
-            machine: call.machine,
-            commands: call.commands,
-            outcome,
-        })
+        Some(call.ended(DirectOutcome::NotCalled))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/controller/src/outgoing/mod.rs
+++ b/crates/controller/src/outgoing/mod.rs
@@ -15,7 +15,7 @@
 use crate::process_limits::ProcessLimits;
 use crate::servers::OpenRequests;
 use crate::startup_error::StartupError;
-use agents::AgentQueues;
+use agents::{AgentCall, AgentQueues};
 use cloud::CloudQueue;
 use peers::PeerQueues;
 use rudderreel_core::units::Time;
@@ -49,7 +49,7 @@
             store: StoreQueues::start(settings.services.state, clock, core)?,
             watch: WatchQueue::start(settings, clock, core)?,
             cloud: CloudQueue::start(settings.services.cloud, core)?,
-            agents: AgentQueues::start(limits, core)?,
+            agents: AgentQueues::start(limits, clock, core)?,
             peers: PeerQueues::start(settings, clock, core)?,
         })
     }
@@ -76,7 +76,13 @@
                 machine,
                 addr,
                 body,
-            } => self.agents.send(machine, addr, body),
+                send_until,
+            } => self.agents.send(AgentCall {
+                machine,
+                addr,
+                commands: body,
+                send_until,
+            }),
             Output::Heartbeat(heartbeat) => self.peers.send_heartbeat(&heartbeat),
             Output::Forward { peer, req, request } => self.peers.forward(&peer, req, request),
             Output::ForwardReports {
--- a/crates/controller/src/outgoing/tests.rs
+++ b/crates/controller/src/outgoing/tests.rs
@@ -37,6 +37,7 @@
         machine: "vm-1".into(),
         addr: "10.0.0.1:1".into(),
         body,
+        send_until: None,
     };
     let reports = ForwardedReports {
         reports: Vec::new(),
--- a/crates/core/src/dispatch/direct_calls.rs
+++ b/crates/core/src/dispatch/direct_calls.rs
@@ -21,6 +21,8 @@
     pub(crate) machine: MachineId,
     pub(crate) addr: String,
     pub(crate) body: DirectCommands,
+    /// Until when it may be sent, if there is a bound.
+    pub(crate) send_until: Option<Time>,
 }
 
 /// Whether a direct call was possibly carried out.
@@ -69,9 +71,12 @@
         }
         self.fleet.direct_calls.take_call();
         let epoch = self.term.epoch();
+        // A start is checked now, and may wait in the process: the right that it was checked by must not lapse meanwhile.
+        let send_until = has_start(&commands).then(|| self.term.may_act_until());
         let machine = self.fleet.machines.get_mut(id)?;
         machine.next_direct_call_at = now + MIN_CALL_INTERVAL;
-        Some(open_call(machine, addr, epoch, commands))
+        let call = open_call(machine, addr, epoch, commands);
+        Some(DirectCall { send_until, ..call })
     }
 
     /// A probe: a call without commands, which asks an agent for a report.
@@ -170,5 +175,10 @@
             incarnation: machine.last_message.incarnation,
             commands,
         },
+        send_until: None,
     }
 }
+
+fn has_start(commands: &[Command]) -> bool {
+    (commands.iter()).any(|command| matches!(command, Command::Start { .. }))
+}
--- a/crates/core/src/io/mod.rs
+++ b/crates/core/src/io/mod.rs
@@ -149,7 +149,7 @@
     Rejected(Option<Box<StatusReport>>),
     /// No connection was made, so nothing was sent.
     NotSent,
-    /// It was not tried: too many calls wait.
+    /// It was not tried: too many calls wait, or it would have been sent too late.
     NotCalled,
     /// No usable answer: they may have been executed, or may yet be.
     Unknown,
@@ -276,6 +276,8 @@
         addr: String,
         /// The commands.
         body: DirectCommands,
+        /// They may be sent until this moment, if there is a bound; then they are answered as not called.
+        send_until: Option<Time>,
     },
     /// Send a heartbeat to every peer.
     Heartbeat(Heartbeat),
--- a/crates/core/src/node/direct_calls.rs
+++ b/crates/core/src/node/direct_calls.rs
@@ -97,6 +97,7 @@
             machine: call.machine,
             addr: call.addr,
             body: call.body,
+            send_until: call.send_until,
         });
     }
 
--- a/crates/core/tests/sim/world/decision_digest.rs
+++ b/crates/core/tests/sim/world/decision_digest.rs
@@ -75,6 +75,7 @@
                 machine,
                 addr,
                 body,
+                ..
             } => {
                 self.kind("direct", 0);
                 self.text(machine.as_str());
--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -85,6 +85,8 @@
     RetryWatch(usize, u32, Version),
     Cloud(usize, u32, CallId, rudderreel_core::CloudCall),
     Direct(usize, u32, MachineId, DirectCommands, bool),
+    /// A direct call that waits in a process, and until when it may be sent.
+    DirectQueued(usize, u32, MachineId, DirectCommands, Option<Time>),
     LateReport(usize, Box<StatusReport>),
     StatusSweep(usize),
     UserAction(usize, JobId, UserAction),
@@ -377,9 +379,8 @@
                 let hop = 40 + self.hop();
                 self.after(hop, Event::Input(node, life, Input::Cloud(id, answer)));
             }
-            Event::Direct(node, life, id, body, late) if self.is_held_back(node, life) => {
-                let delay = self.remaining_pause(node);
-                self.after(delay, Event::Direct(node, life, id, body, late));
+            Event::DirectQueued(node, life, id, body, send_until) => {
+                self.send_direct(node, life, id, body, send_until)
             }
             Event::Direct(node, life, id, body, late) => self.direct(node, life, id, body, late),
             Event::Heartbeat(from, to, life, heartbeat) if self.is_held_back(from, life) => {
--- a/crates/core/tests/sim/world/nodes.rs
+++ b/crates/core/tests/sim/world/nodes.rs
@@ -116,9 +116,17 @@
                     let input = Input::Cloud(id, CloudAnswer::Refused);
                     self.after(hop, Event::Input(node, life, input))
                 }
-                Output::Direct { machine, body, .. } => {
+                Output::Direct {
+                    machine,
+                    body,
+                    send_until,
+                    ..
+                } => {
                     self.note_starts(&body.commands);
-                    self.after(hop, Event::Direct(node, life, machine, body, false))
+                    self.after(
+                        hop,
+                        Event::DirectQueued(node, life, machine, body, send_until),
+                    )
                 }
                 Output::Heartbeat(heartbeat) => {
                     for to in (0..self.scenario.nodes).filter(|to| *to != node) {
--- a/crates/core/tests/sim/world/pauses.rs
+++ b/crates/core/tests/sim/world/pauses.rs
@@ -120,6 +120,33 @@
         self.alive(node, life) && self.is_paused(node) && self.rng.random_bool(0.5)
     }
 
+    /// A direct call leaves a process, which looks at the time once more before. If the process stands still it has left
+    /// before, or does so when the process goes on.
+    pub(super) fn send_direct(
+        &mut self,
+        node: usize,
+        life: u32,
+        machine: MachineId,
+        body: DirectCommands,
+        send_until: Option<Time>,
+    ) {
+        if self.is_held_back(node, life) {
+            let delay = self.remaining_pause(node);
+            let queued = Event::DirectQueued(node, life, machine, body, send_until);
+            return self.after(delay, queued);
+        }
+        let now = self.clock(node).time;
+        if send_until.is_some_and(|until| now >= until) && self.alive(node, life) {
+            let not_called = Input::Direct {
+                machine,
+                commands: body,
+                outcome: DirectOutcome::NotCalled,
+            };
+            return self.step(node, not_called);
+        }
+        self.direct(node, life, machine, body, false);
+    }
+
     /// When a call that was held back is said to have been sent: the clock is read before or after the pause.
     pub(super) fn sending_time(&mut self, node: usize, before: Time) -> Time {
         if self.rng.random_bool(0.5) {
