Test: a leader whose watch hangs keeps no task of a cancelled job

Cause: the flaw of the incident needs no pause: with a watch that gets no answer, and no link to the other nodes, a leader renewed its lease and kept tasks of a cancelled job running. Change: the simulated world can hold up a node's watch alone.

--- a/crates/core/tests/sim/paused_nodes.rs
+++ b/crates/core/tests/sim/paused_nodes.rs
@@ -109,6 +109,26 @@
     assert_eq!(world.on_machines(&id), 0);
 }
 
+/// The same flaw without any pause: the watch of a leader gets no answer, and no other node reaches the leader, while its
+/// lease is renewed all the time. It went on answering agents and kept the tasks of a cancelled job running, since its
+/// lease said nothing of what had been committed meanwhile. Now it reads the changes itself.
+#[test]
+fn a_leader_whose_watch_hangs_keeps_no_task_of_a_cancelled_job() {
+    for (seed, nodes) in [(1_420, 3), (1_421, 5)] {
+        let (mut world, ids, leader) = play_until_running(seed, nodes, false);
+        let end = world.now + world.cancel_ms() + PAUSE_BEYOND_CANCEL_MS;
+        world.hang_watch(leader, end);
+        world.cut_from_peers(leader, end);
+        let canceller = (leader + 1) % nodes;
+        cancel_until_told(&mut world, canceller, &ids[0], end);
+        world.run_until(end);
+        assert_eq!(world.leader_by_store(), Some(leader), "it leads on");
+        assert_eq!(world.on_machines(&ids[0]), 0);
+        assert_eq!(world.on_machines(&ids[1]), 2, "others run on");
+        world.check_starts();
+    }
+}
+
 /// What comes together with pauses.
 const DAYS: [&[Fault]; 6] = [
     &[LeaderPauses, NodePauses],
--- a/crates/core/tests/sim/world/faults.rs
+++ b/crates/core/tests/sim/world/faults.rs
@@ -136,6 +136,16 @@
         self.nodes[node].cut_from_store_until = until;
     }
 
+    /// A node's watch of the store gets no answer, while all its other calls do.
+    pub fn hang_watch(&mut self, node: usize, until: u64) {
+        self.nodes[node].watch_hangs_until = until;
+    }
+
+    /// Cuts a node off from the other nodes.
+    pub fn cut_from_peers(&mut self, node: usize, until: u64) {
+        self.nodes[node].cut_from_peers_until = until;
+    }
+
     /// Connections between nodes are refused.
     pub fn cut_peer_links(&mut self, until: u64) {
         for node in &mut self.nodes {
@@ -342,6 +352,7 @@
             node.cut_from_peers_until = 0;
             node.cut_from_agents_until = 0;
             node.slow_until = 0;
+            node.watch_hangs_until = 0;
         }
         self.end_outage_spells();
         for node in 0..self.scenario.nodes {
--- a/crates/core/tests/sim/world/store_calls.rs
+++ b/crates/core/tests/sim/world/store_calls.rs
@@ -115,7 +115,9 @@
         if !self.alive(node, life) {
             return;
         }
-        let cut = self.store.down || self.now < self.nodes[node].cut_from_store_until;
+        let cut = self.store.down
+            || self.now < self.nodes[node].cut_from_store_until
+            || self.now < self.nodes[node].watch_hangs_until;
         if self.random_faults && self.rng.random_bool(0.003) {
             // Its place is too old for the service.
             return self.after(1, Event::Input(node, life, Input::WatchLost));
