A confirmation of the cache that asks for forgotten changes is only repeated

Cause: it began a listing of its own beside the one that the watch begins when it finds the same out; each listing ends in a call of the watch, so two would have gone on for ever. Change: only the watch begins listings; the leader does not act until they are done, as before.

--- a/crates/controller/src/clients/store.rs
+++ b/crates/controller/src/clients/store.rs
@@ -54,7 +54,6 @@
         Reply::Response(status, body) => store_answer(call, status, &body),
         // Nothing was sent, so nothing can have been executed.
         Reply::NotSent => StoreAnswer::Refused,
-        Reply::TooLong if matches!(call, StoreCall::Changes(..)) => StoreAnswer::ChangesForgotten,
         Reply::Unknown | Reply::TooLong => StoreAnswer::Unknown,
     }
 }
@@ -76,7 +75,6 @@
                 StoreAnswer::Changes(e)
             })
         }
-        (410, StoreCall::Changes(..)) => StoreAnswer::ChangesForgotten,
         (200, StoreCall::Commit(_)) => parse_json(body, StoreAnswer::Unknown, |c: Committed| {
             StoreAnswer::Committed(c.revision)
         }),
--- a/crates/controller/src/clients/tests.rs
+++ b/crates/controller/src/clients/tests.rs
@@ -21,6 +21,7 @@
         StoreCall::List("pub/".into(), None),
         StoreCall::Commit(transaction),
         StoreCall::NewLease(3_000),
+        StoreCall::Changes("pub/".into(), Version(3)),
     ];
     for call in &calls {
         for body in [&b""[..], b"{", b"[]", b"{\"entries\":7}", &[0xff, 0xfe]] {
@@ -40,6 +41,10 @@
     assert!(matches!(ended, StoreAnswer::NoSuchLease));
     let large = store_answer(&calls[2], 400, b"{\"error\":\"value too large\"}");
     assert!(matches!(large, StoreAnswer::Rejected));
+    // Changes that the store does not keep any more are none.
+    let changes = calls.last().expect("a call");
+    let forgotten = store_answer(changes, 410, b"{}");
+    assert!(matches!(forgotten, StoreAnswer::Refused));
     let conflict = store_answer(&calls[2], 409, b"<html>");
     assert!(matches!(conflict, StoreAnswer::Unknown));
     assert!(
--- a/crates/controller/tests/loopback/stand_ins.rs
+++ b/crates/controller/tests/loopback/stand_ins.rs
@@ -293,7 +293,6 @@
         StoreAnswer::Missing => (404, "{\"logline\":0}".into()),
         StoreAnswer::Page(page) => json(200, &page),
         StoreAnswer::Changes(changes) => json(200, &changes),
-        StoreAnswer::ChangesForgotten => (410, "{}".into()),
         StoreAnswer::Committed(revision) => {
             let failed = Vec::new();
             json(200, &Committed { revision, failed })
--- a/crates/core/src/io/mod.rs
+++ b/crates/core/src/io/mod.rs
@@ -86,8 +86,6 @@
     Page(Page<Value>),
     /// The changes read, up to the store's present revision.
     Changes(Events<Value>),
-    /// The changes asked for are not kept any more.
-    ChangesForgotten,
     /// The transaction was carried out at this revision.
     Committed(Version),
     /// These keys' conditions failed.
--- a/crates/core/src/node/cache_sync.rs
+++ b/crates/core/src/node/cache_sync.rs
@@ -137,7 +137,7 @@
         self.cache_confirmation.end();
         match answer {
             StoreAnswer::Changes(changes) => self.apply_changes(sent, changes, now),
-            StoreAnswer::ChangesForgotten => self.watch_lost(now.time),
+            // If the store has forgotten changes since then, the watch finds that out, too, and all is listed again.
             _ => self.cache_confirmation.retry(now.time),
         }
     }
