Log lines say on what a renewal, an answer to a report and a user's answer rest

Cause: starts and stops named their lease and cache; the last renewal, answers to reports and what users are told of cancellations did not. Change: at debug "lease renewed" with when it was sent, "report answered" by lease or by votes, and "cancellation acknowledged to its user" with its revision and whether a majority knows it. All take the leader's right from Term::log_fields.

--- a/crates/core/src/api/cancellation_replication.rs
+++ b/crates/core/src/api/cancellation_replication.rs
@@ -161,6 +161,7 @@
         context: &AcknowledgementContext<'_>,
     ) -> Option<Acknowledgement> {
         if self.may_acknowledge(request.job(), version, Span(0), context) {
+            self.log_acknowledgement(request.job(), version);
             return Some(Acknowledgement::Respond(request));
         }
         (self.knowledge).request_replication(request.job(), version);
@@ -189,6 +190,14 @@
         is_majority && leader_settled || context.is_surely_without_tasks(id)
     }
 
+    /// Names what a user is told of a cancellation on: its revision, and whether a majority knows it, or no task is left.
+    fn log_acknowledgement(&self, id: &JobId, version: Version) {
+        let is_known_to_majority = self.knowledge.is_known_to_majority(id, version);
+        log::debug!(
+            "cancellation acknowledged to its user job={id} version={version} known_to_majority={is_known_to_majority}"
+        );
+    }
+
     /// Decides about the waiting requests: answers what may be answered by now, and refuses what has waited too
     /// long.
     pub fn decide_waiting(&mut self, context: &AcknowledgementContext<'_>) -> Vec<Acknowledgement> {
@@ -199,6 +208,7 @@
             };
             let waited = context.now.time - since;
             if self.may_acknowledge(request.job(), known.version, waited, context) {
+                self.log_acknowledgement(request.job(), known.version);
                 decided.push(Acknowledgement::Respond(request));
             } else if waited > ACKNOWLEDGEMENT_TIMEOUT {
                 self.watermark_publication.request_from_peers(known.version);
--- a/crates/core/src/dispatch/commands.rs
+++ b/crates/core/src/dispatch/commands.rs
@@ -66,12 +66,7 @@
         if commands.is_empty() || !log::log_enabled!(log::Level::Debug) {
             return;
         }
-        let right = format!(
-            "epoch={} lease_left_ms={} {} delivery={delivery:?}",
-            self.term.epoch(),
-            self.term.lease_left(now).0,
-            self.term.cache().log_fields(now)
-        );
+        let right = format!("{} delivery={delivery:?}", self.term.log_fields(now));
         for command in commands {
             match command {
                 Command::Start { task, attempt } => log::debug!(
--- a/crates/core/src/leadership/term.rs
+++ b/crates/core/src/leadership/term.rs
@@ -130,19 +130,19 @@
         self.lease_until = self.lease_until.max(lease_alive_until(sent));
     }
 
-    /// How long the lease is surely alive yet.
-    pub fn lease_left(&self, now: Time) -> Span {
-        self.lease_until - now
-    }
-
     /// The node's cache has been confirmed.
     pub fn cache_confirmed(&mut self, cache: CacheConfirmation) {
         self.cache = cache;
     }
 
-    /// How old the node's cache may be.
-    pub fn cache(&self) -> CacheConfirmation {
-        self.cache
+    /// What log lines say of the right to act at a moment.
+    pub fn log_fields(&self, now: Time) -> String {
+        let lease_left = self.lease_until - now;
+        let cache = self.cache.log_fields(now);
+        format!(
+            "epoch={} lease_left_ms={} {cache}",
+            self.epoch, lease_left.0
+        )
     }
 
     /// Until when the node's cache is as fresh as a lease.
--- a/crates/core/src/leadership/term/tests.rs
+++ b/crates/core/src/leadership/term/tests.rs
@@ -19,7 +19,7 @@
 
 /// The node's cache is confirmed by a call that was sent at a moment.
 fn confirm_cache(term: &mut Term, sent_at: Time) {
-    let mut cache = term.cache();
+    let mut cache = term.cache;
     cache.confirm(Version(7), sent_at);
     term.cache_confirmed(cache);
 }
@@ -47,7 +47,7 @@
     assert!(!term.may_act(later));
     confirm_cache(&mut term, later);
     assert!(term.may_act(later) && term.may_answer_agents(later, true, MAJORITY));
-    let mut missed_changes = term.cache();
+    let mut missed_changes = term.cache;
     missed_changes.lose();
     term.cache_confirmed(missed_changes);
     assert!(!term.may_act(later));
--- a/crates/core/src/node/cancellation_replication.rs
+++ b/crates/core/src/node/cancellation_replication.rs
@@ -57,11 +57,7 @@
     ) {
         for acknowledgement in decided {
             match acknowledgement {
-                Acknowledgement::Respond(request) => {
-                    let job = request.job();
-                    log::debug!("cancellation acknowledged to its user job={job}");
-                    self.respond_now(&request, now)
-                }
+                Acknowledgement::Respond(request) => self.respond_now(&request, now),
                 Acknowledgement::Refuse(request, refusal) => self.refuse(request.id(), refusal),
             }
         }
--- a/crates/core/src/node/direct_calls.rs
+++ b/crates/core/src/node/direct_calls.rs
@@ -32,9 +32,11 @@
             return self.refuse(req, Refusal::NotEntitled);
         };
         let token = leader.term.epoch();
-        if !leader.term.may_act(now.time) {
+        if log::log_enabled!(log::Level::Debug) {
+            let by_lease = leader.term.may_act(now.time);
+            let right = leader.term.log_fields(now.time);
             log::debug!(
-                "report answered by lease votes machine={} epoch={token}",
+                "report answered machine={} by_lease={by_lease} {right}",
                 report.machine
             );
         }
--- a/crates/core/src/node/election.rs
+++ b/crates/core/src/node/election.rs
@@ -72,6 +72,11 @@
         self.extend_term(now, |term| {
             if term.lease_id() == lease {
                 term.lease_renewed(sent);
+                let sent_ms_ago = (now - sent).0;
+                log::debug!(
+                    "lease renewed sent_ms_ago={sent_ms_ago} {}",
+                    term.log_fields(now)
+                );
             }
         });
     }
@@ -85,12 +90,7 @@
         let could_act = term.may_act(now);
         extend(term);
         if !could_act && term.may_act(now) {
-            log::info!(
-                "leader may act epoch={} lease_left_ms={} {}",
-                term.epoch(),
-                term.lease_left(now).0,
-                term.cache().log_fields(now)
-            );
+            log::info!("leader may act {}", term.log_fields(now));
         }
     }
 
