The watch goes on from where it is while a listing confirms nothing yet

Cause: read, not seen: since a watch goes on from the cache's revision, one that is answered while all keys are listed again would have been asked for the same changes over and over. Change: the next watch starts after the later of the two revisions.

--- a/crates/core/src/node/cache_sync.rs
+++ b/crates/core/src/node/cache_sync.rs
@@ -82,9 +82,11 @@
 
     /// Applies the changes that the watch has seen, and watches on from where the cache is then.
     pub(super) fn watch_events_received(&mut self, sent: Time, changes: Events<Value>, now: Now) {
+        let revision = changes.revision;
         self.apply_changes(sent, changes, now);
-        let revision = self.job_cache.confirmation().revision();
-        self.out.push(Output::Watch(revision));
+        // While a listing is under way nothing is confirmed, and the cache's revision stays behind the watch.
+        let known = self.job_cache.confirmation().revision();
+        self.out.push(Output::Watch(known.max(revision)));
     }
 
     /// Applies all changes since the cache's revision or an earlier one, as a call brought them that was sent at a
