--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,7 +1,8 @@
 //! The tests of the review's cases. Usage: lab CASE ROOT RECORD; TROUBLE=0 leaves out the disruption.
-#![allow(dead_code)]
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
+#![allow(dead_code)]
+
 mod cases;
 mod http;
 mod json;
