--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -298,6 +298,9 @@
         let mut words = run.split(' ').filter(|w| !w.is_empty());
         let program = self.root.join(words.next().expect("a program"));
         let mut nodes = self.nodes.lock().unwrap();
+        if nodes[i].process.is_some() {
+            return;
+        }
         let log = self.temp.join(format!("deckhand-{i}.log"));
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
         let level = std::env::var("REVIEW_LOG").unwrap_or("info".into());
