Review stand-ins: a second site, and a test of a stale leader that returns a machine

Cause: a leader that stood still past its lease sends the calls to the cloud that waited in its queue.

--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -7,6 +7,7 @@
     match case {
         "late-start" => late_start(trouble, root, record),
         "zone-bound" => zone_bound(trouble, root, record),
+        "stale-return" => stale_return(trouble, root, record),
         "tiny-tasks" => tiny_tasks(trouble, root, record),
         _ => 2,
     }
@@ -256,3 +257,76 @@
     let broken = oversize > 0 && (begun == 0 || lost > 0);
     end(&lab, i32::from(broken), &why)
 }
+
+/// The leader stands still just as a machine has been idle for long enough to be returned, while the cloud's interface
+/// is down. Another controller leads and starts a service on that machine; the cloud's interface is back. Does the old
+/// leader, once it goes on, return the machine?
+fn stale_return(trouble: bool, root: &Path, record: &Path) -> i32 {
+    let lab = Lab::start(Site::herbstzeit(vec![("gams", "mur", false, 1)]), root, record);
+    if !lab.wait(15.0, || lab.leader().is_some()) {
+        return end(&lab, 2, "no leader");
+    }
+    let photos = job("wk-000001", "photocheck", "partnerteam", "sweep", vec![
+        ("vcpus", num(2.0)),
+        ("memoryGb", num(1.9)),
+        ("expectedS", num(4.0)),
+    ]);
+    let web = job("wk-000002", "memberweb", "partnerteam", "standing", vec![
+        ("vcpus", num(2.0)),
+        ("memoryGb", num(3.4)),
+    ]);
+    let first = |kind: &str, task: &str| {
+        lab.events.lock().unwrap().iter().find(|e| e.kind == kind && e.task == task).map(|e| e.at)
+    };
+    if !lab.submit(0, &photos, 4.0) {
+        return end(&lab, 2, "not accepted");
+    }
+    if !lab.wait(20.0, || !lab.cloud.lock().unwrap().machines.is_empty()) {
+        return end(&lab, 2, "no machine was rented");
+    }
+    let rented = lab.now();
+    if !lab.wait(20.0, || first("done", "wk-000001/0").is_some()) {
+        return end(&lab, 2, "the first job did not end");
+    }
+    lab.sleep_until(rented + 50.0);
+    if trouble {
+        lab.set_cloud_down(true);
+    }
+    // A machine costs 60 s at least; from then on an idle one is returned.
+    lab.sleep_until(rented + if trouble { 60.2 } else { 55.0 });
+    let Some(old) = lab.leader() else {
+        return end(&lab, 2, "no leader");
+    };
+    let stopped = lab.now();
+    if trouble {
+        lab.signal_node(old, "STOP");
+        if !lab.wait(12.0, || lab.leads_besides(old).is_some()) {
+            return end(&lab, 2, "no other leader");
+        }
+        lab.rec(format!("deckhand-{} leads", lab.leads_besides(old).unwrap_or(old)));
+        lab.set_cloud_down(false);
+    }
+    if !lab.submit((old + 1) % 3, &web, 0.0) {
+        return end(&lab, 2, "not accepted");
+    }
+    if !lab.wait(15.0, || first("started", "wk-000002/0").is_some()) {
+        return end(&lab, 2, "the service did not start");
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let went_on = lab.now();
+    if trouble {
+        lab.signal_node(old, "CONT");
+    }
+    std::thread::sleep(Duration::from_secs(10));
+    match first("gone", "wk-000002/0") {
+        Some(at) => {
+            let why = format!(
+                "deckhand-{old} stood still for {:.1} s; {:.3} s after it went on, the machine on which the new leader runs wk-000002/0 was returned to the cloud",
+                went_on - stopped,
+                at - went_on
+            );
+            end(&lab, 1, &why)
+        }
+        None => end(&lab, 0, "the service runs on"),
+    }
+}
--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -6,10 +6,10 @@
 use crate::store::{Limits, Store};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -49,12 +49,12 @@
 }
 
 pub struct Site {
+    pub settings: Settings,
     pub nodes: usize,
     pub zones: &'static [&'static str],
     pub hulls: Vec<Hull>,
     /// Machines to be had, by type, zone and whether they are cheap.
     pub capacity: Vec<(&'static str, &'static str, bool, usize)>,
-    pub teams: usize,
     pub boot_ms: u64,
     pub report_s: f64,
     pub lease_s: f64,
@@ -65,17 +65,93 @@
     /// The site prairie-preview-reels: its own numbers, but machines are up within a second or two.
     pub fn prairie(capacity: Vec<(&'static str, &'static str, bool, usize)>) -> Self {
         Self {
+            settings: Settings {
+                params: prairie_params,
+                gang_wait_s: 35.0,
+                state: Limits { rps: 250.0, write_rps: 25.0, value_bytes: 32 * 1024, txn_ops: 20 },
+            },
             nodes: 3,
             zones: &["assiniboia", "qu-appelle"],
             hulls: prairie_hulls(),
             capacity,
-            teams: 10,
             boot_ms: 1_200,
             report_s: 2.5,
             lease_s: 12.0,
             cancel_s: 37.0,
         }
     }
+
+    /// The site herbstzeit-matching: its own numbers, but machines are up within a second or two.
+    pub fn herbstzeit(capacity: Vec<(&'static str, &'static str, bool, usize)>) -> Self {
+        Self {
+            settings: Settings {
+                params: herbstzeit_params,
+                gang_wait_s: 35.0,
+                state: Limits { rps: 100.0, write_rps: 30.0, value_bytes: 16 * 1024, txn_ops: 24 },
+            },
+            nodes: 3,
+            zones: &["mur", "enns", "traun"],
+            hulls: vec![Hull {
+                name: "gams",
+                cpus: 8.0,
+                gpus: 0.0,
+                memory: 16.0,
+                rate: 0.33,
+                spot_rate: 0.08,
+                startup_s: 35.0,
+                berths: &["mur", "enns", "traun"],
+            }],
+            capacity,
+            boot_ms: 1_200,
+            report_s: 1.5,
+            lease_s: 12.0,
+            cancel_s: 42.0,
+        }
+    }
+}
+
+fn prairie_params() -> String {
+    let mut t = String::new();
+    for n in 0..10 {
+        t += &format!(
+            "[[params.teams]]\nname = \"catalogue-ops-{n:02}\"\ncpus = 43.0\ncpus_max = 160.0\ngpus = 8.0\ngpus_max = 24.0\n\n"
+        );
+    }
+    // The guest team without a guarantee.
+    t += "[[params.teams]]\nname = \"licensing-desk\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n\n";
+    for (kind, class, within, share) in [
+        ("wait", "storefront", 1.0, 0.95),
+        ("finished", "waveforms", 200.0, 0.8),
+        ("finished", "waveforms", 300.0, 0.95),
+        ("wait", "moodtrain", 40.0, 0.75),
+        ("finished", "moodtrain", 300.0, 0.85),
+    ] {
+        t += &format!(
+            "[[params.objectives]]\nkind = \"{kind}\"\nclass = \"{class}\"\nwithin_s = {within:.1}\nshare = {share}\n\n"
+        );
+    }
+    t += "[params.state]\nrps = 250.0\nwrite_rps = 25.0\nvalue_kb = 32.0\ntxn_ops = 20\n\n\
+        [params.cloud]\nrps = 4.0\nlist_lag_s = 10.0\n\n\
+        [params.machine_limits]\ncore_share = 0.064\nmemory_mb = 104.0\nfd_limit = 1800\n\n";
+    t
+}
+
+fn herbstzeit_params() -> String {
+    "[[params.teams]]\nname = \"partnerteam\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n\n\
+        [[params.objectives]]\nkind = \"wait\"\nclass = \"memberweb\"\nwithin_s = 4.0\nshare = 0.92\n\n\
+        [params.state]\nrps = 100.0\nwrite_rps = 30.0\nvalue_kb = 16.0\ntxn_ops = 24\n\n\
+        [params.cloud]\nrps = 6.0\nlist_lag_s = 4.0\n\n\
+        [params.machine_limits]\ncore_share = 0.064\nmemory_mb = 72.0\nfd_limit = 1200\n\n"
+        .into()
+}
+
+/// What the settings file holds besides addresses, as in the site's page.
+#[derive(Clone, Copy)]
+pub struct Settings {
+    /// Teams, objectives, and the limits of the state service, the cloud and the controller's machine, as TOML.
+    pub params: fn() -> String,
+    pub gang_wait_s: f64,
+    pub state: Limits,
 }
 
 /// What happened on a machine, by the lab's clock.
@@ -134,8 +210,17 @@
     rented: Instant,
 }
 
+/// A free loopback address, below the ports that the system gives to outgoing connections.
 fn free_address() -> SocketAddr {
-    listen().local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let n = u32::from(NEXT.fetch_add(1, Ordering::SeqCst));
+        let port = 10_240 + (std::process::id() * 61 + n * 7) % 20_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 impl Lab {
@@ -144,12 +229,7 @@
         let ended = Arc::new(AtomicBool::new(false));
         let temp = std::env::temp_dir().join(format!("rudderreel-review-{}", std::process::id()));
         std::fs::create_dir_all(&temp).expect("a temporary folder");
-        let store = Arc::new(Store::new(Limits {
-            rps: 250.0,
-            write_rps: 25.0,
-            value_bytes: 32 * 1024,
-            txn_ops: 20,
-        }));
+        let store = Arc::new(Store::new(site.settings.state));
         let for_store = store.clone();
         let store_addr =
             serve(listen(), ended.clone(), Arc::new(move |r: &Req| for_store.handle(r)));
@@ -262,30 +342,10 @@
             s.nodes,
             zones.join(", ")
         );
-        for n in 0..s.teams {
-            t += &format!(
-                "[[params.teams]]\nname = \"catalogue-ops-{n:02}\"\ncpus = 43.0\ncpus_max = 160.0\ngpus = 8.0\ngpus_max = 24.0\n\n"
-            );
-        }
-        // The guest team without a guarantee.
-        t += "[[params.teams]]\nname = \"licensing-desk\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n\n";
-        for (kind, class, within, share) in [
-            ("wait", "storefront", 1.0, 0.95),
-            ("finished", "waveforms", 200.0, 0.8),
-            ("finished", "waveforms", 300.0, 0.95),
-            ("wait", "moodtrain", 40.0, 0.75),
-            ("finished", "moodtrain", 300.0, 0.85),
-        ] {
-            t += &format!(
-                "[[params.objectives]]\nkind = \"{kind}\"\nclass = \"{class}\"\nwithin_s = {within:.1}\nshare = {share}\n\n"
-            );
-        }
+        t += &(s.settings.params)();
         t += &format!(
-            "[params.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ngang_wait_s = 35.0\ngang_peer_s = 4.0\ncancel_s = {:.1}\n\n\
-            [params.state]\nrps = 250.0\nwrite_rps = 25.0\nvalue_kb = 32.0\ntxn_ops = 20\n\n\
-            [params.cloud]\nrps = 4.0\nlist_lag_s = 10.0\n\n\
-            [params.machine_limits]\ncore_share = 0.064\nmemory_mb = 104.0\nfd_limit = 1800\n",
-            s.report_s, s.lease_s, s.cancel_s
+            "[params.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ngang_wait_s = {:.1}\ngang_peer_s = 4.0\ncancel_s = {:.1}\n",
+            s.report_s, s.lease_s, s.settings.gang_wait_s, s.cancel_s
         );
         t
     }
@@ -356,13 +416,26 @@
 
     /// The node that says of itself that it leads.
     pub fn leader(&self) -> Option<usize> {
-        (0..self.site.nodes).find(|i| {
-            let limit = Duration::from_millis(500);
-            call(self.addresses.peers[*i], "GET", "/admin/overview", "", limit)
-                .and_then(|(status, body)| (status == 200).then_some(body))
-                .and_then(|body| J::parse(&body))
-                .is_some_and(|o| o.get("leads").bool())
-        })
+        (0..self.site.nodes).find(|i| self.says_it_leads(*i))
+    }
+
+    /// Another node that says of itself that it leads.
+    pub fn leads_besides(&self, old: usize) -> Option<usize> {
+        (0..self.site.nodes).filter(|i| *i != old).find(|i| self.says_it_leads(*i))
+    }
+
+    fn says_it_leads(&self, i: usize) -> bool {
+        let limit = Duration::from_millis(500);
+        call(self.addresses.peers[i], "GET", "/admin/overview", "", limit)
+            .and_then(|(status, body)| (status == 200).then_some(body))
+            .and_then(|body| J::parse(&body))
+            .is_some_and(|o| o.get("leads").bool())
+    }
+
+    /// Begins or ends an outage of the cloud's interface.
+    pub fn set_cloud_down(&self, down: bool) {
+        self.cloud.lock().unwrap().down = down;
+        self.rec(format!("cloud down: {down}"));
     }
 
     /// Cuts a controller off from the state service and from the other controllers, in both directions, or ends that.
