--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -39,7 +39,7 @@
         ("memoryGb", num(12.0)),
         ("expectedS", num(300.0)),
         ("snapshotS", num(10.0)),
-        ("stowS", num(1.5)),
+        ("stowS", num(1.2)),
     ]);
     let urgent = job("wk-000002", "waveforms", team, "sweep", vec![
         ("precedence", st("urgent")),
@@ -224,23 +224,21 @@
         return end(&lab, 2, "the service did not start");
     }
     std::thread::sleep(Duration::from_secs(2));
-    if trouble {
-        let sheets = job("wk-000002", "cuesheets", "licensing-desk", "sweep", vec![
-            ("takes", num(1_400)),
-            ("vcpus", num(0.02)),
-            ("memoryGb", num(0.05)),
-            ("expectedS", num(20.0)),
-            ("precedence", st("low")),
-        ]);
-        if !lab.submit(1, &sheets, 20.0) {
-            return end(&lab, 2, "not accepted");
-        }
+    // Without the trouble the array is the same, but small.
+    let takes = if trouble { 1_400 } else { 100 };
+    let sheets = job("wk-000002", "cuesheets", "licensing-desk", "sweep", vec![
+        ("takes", num(takes)),
+        ("vcpus", num(0.02)),
+        ("memoryGb", num(0.05)),
+        ("expectedS", num(20.0)),
+        ("precedence", st("low")),
+    ]);
+    if !lab.submit(1, &sheets, 20.0) {
+        return end(&lab, 2, "not accepted");
     }
     let since = lab.now();
     while lab.now() < since + 90.0 {
-        if trouble {
-            lab.status(0, "wk-000002");
-        }
+        lab.status(0, "wk-000002");
         lab.sleep_until((lab.now() + 5.0).min(since + 90.0));
     }
     let states: Vec<(u64, u64)> = (lab.workers().iter())
@@ -252,9 +250,9 @@
     let begun = count("started", "wk-000002/");
     let lost = count("gone", "wk-000001/");
     let why = format!(
-        "{oversize} messages to workers over 64 KiB; leases lost: {sessions}; the service's replica was lost {lost} times; tasks of the array that began within 90 s: {begun} of 1400"
+        "{oversize} messages to workers over 64 KiB; leases lost: {sessions}; the service's replica was lost {lost} times; tasks of the array that began within 90 s: {begun} of {takes}"
     );
-    let broken = oversize > 0 && (begun == 0 || lost > 0);
+    let broken = (oversize > 0 || !trouble) && (begun == 0 || lost > 0);
     end(&lab, i32::from(broken), &why)
 }
 
--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -210,6 +210,20 @@
     rented: Instant,
 }
 
+/// Time after which a test gives up and ends everything.
+const MOST_SECONDS: u64 = 114;
+
+/// Processes that were started and not ended yet.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, whatever became of the test.
+pub fn end_processes() {
+    let running = std::mem::take(&mut *RUNNING.lock().unwrap_or_else(|e| e.into_inner()));
+    for pid in running {
+        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).stderr(Stdio::null()).status();
+    }
+}
+
 /// A free loopback address, below the ports that the system gives to outgoing connections.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
@@ -263,6 +277,14 @@
         });
         let for_cloud = lab.clone();
         serve(cloud_listener, ended, Arc::new(move |r: &Req| for_cloud.cloud_request(r)));
+        let watchdog = lab.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs(MOST_SECONDS));
+            watchdog.rec("could not run: the time is over");
+            end_processes();
+            let _ = std::fs::remove_dir_all(&watchdog.temp);
+            std::process::exit(2);
+        });
         let ticker = lab.clone();
         std::thread::spawn(move || {
             while !ticker.is_over() {
@@ -373,6 +395,7 @@
             .stderr(log)
             .spawn()
             .expect("the controller starts");
+        RUNNING.lock().unwrap().push(process.id());
         nodes[i].process = Some(process);
         drop(nodes);
         self.rec(format!("deckhand-{i} started"));
@@ -383,6 +406,7 @@
         if let Some(mut process) = nodes[i].process.take() {
             let _ = process.kill();
             let _ = process.wait();
+            RUNNING.lock().unwrap().retain(|pid| *pid != process.id());
         }
         drop(nodes);
         self.rec(format!("deckhand-{i} killed"));
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -20,5 +20,6 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let (root, record) = (PathBuf::from(root), PathBuf::from(record));
     let code = std::panic::catch_unwind(|| cases::run(case, trouble, &root, &record)).unwrap_or(2);
+    lab::end_processes();
     std::process::exit(code);
 }
