--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -24,13 +24,15 @@
     pub rate: f64,
     pub spot_rate: f64,
     pub startup_s: f64,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
     pub berths: &'static [&'static str],
 }
 
 /// The machine types of the site prairie-preview-reels.
 pub fn prairie_hulls() -> Vec<Hull> {
     let both: &[&str] = &["assiniboia", "qu-appelle"];
-    let hull = |name, cpus, gpus, memory, rate, spot_rate, startup_s, berths| Hull {
+    let hull = |name, cpus, gpus, memory, rate, spot_rate, startup_s, (cache_gb, fetch_gb_per_s), berths| Hull {
         name,
         cpus,
         gpus,
@@ -38,13 +40,15 @@
         rate,
         spot_rate,
         startup_s,
+        cache_gb,
+        fetch_gb_per_s,
         berths,
     };
     vec![
-        hull("wren", 4.0, 0.0, 16.0, 0.23, 0.06, 30.0, &["assiniboia"]),
-        hull("magpie", 16.0, 0.0, 128.0, 1.29, 0.29, 40.0, both),
-        hull("heron", 32.0, 0.0, 128.0, 1.97, 0.5, 40.0, both),
-        hull("pelican", 48.0, 8.0, 384.0, 25.53, 5.72, 35.0, both),
+        hull("wren", 4.0, 0.0, 16.0, 0.23, 0.06, 30.0, (70.0, 0.5), &["assiniboia"]),
+        hull("magpie", 16.0, 0.0, 128.0, 1.29, 0.29, 40.0, (50.0, 0.6), both),
+        hull("heron", 32.0, 0.0, 128.0, 1.97, 0.5, 40.0, (80.0, 1.0), both),
+        hull("pelican", 48.0, 8.0, 384.0, 25.53, 5.72, 35.0, (90.0, 1.0), both),
     ]
 }
 
@@ -99,6 +103,8 @@
                 rate: 0.33,
                 spot_rate: 0.08,
                 startup_s: 35.0,
+                cache_gb: 60.0,
+                fetch_gb_per_s: 0.2,
                 berths: &["mur", "enns", "traun"],
             }],
             capacity,
@@ -567,8 +573,8 @@
                     ("vcpus", num(h.cpus)),
                     ("gpus", num(h.gpus)),
                     ("memoryGb", num(h.memory)),
-                    ("cacheGb", num(70)),
-                    ("fetchGbPerS", num(1.0)),
+                    ("cacheGb", num(h.cache_gb)),
+                    ("fetchGbPerS", num(h.fetch_gb_per_s)),
                     ("rate", num(h.rate)),
                     ("marketPrice", num(h.spot_rate)),
                     ("startupS", num(h.startup_s)),
@@ -674,6 +680,8 @@
     run_s: f64,
     stow_s: f64,
     saves: bool,
+    image: String,
+    fetch_s: f64,
 }
 
 pub struct WorkerState {
@@ -684,6 +692,7 @@
     pub tasks: Vec<Task>,
     images: BTreeSet<String>,
     changed: bool,
+    token_change: Option<Instant>,
     gone: bool,
     /// Set by a test: the worker tells what it receives.
     pub lease_losses: u64,
@@ -720,6 +729,7 @@
                 tasks: Vec::new(),
                 images: BTreeSet::new(),
                 changed: false,
+                token_change: None,
                 gone: false,
                 lease_losses: 0,
                 oversize: 0,
@@ -774,14 +784,14 @@
             s.changed = true;
         }
         let mut changed = false;
-        let mut images = Vec::new();
+        let (mut images, cached) = (Vec::new(), s.images.clone());
         for t in &mut s.tasks {
             let age = t.since.elapsed().as_secs_f64();
             match t.state {
-                "pulling" if age >= 0.3 => {
+                "pulling" if cached.contains(&t.image) || age >= t.fetch_s => {
                     t.state = "running";
                     t.since = Instant::now();
-                    images.push(t.id.clone());
+                    images.push(t.image.clone());
                     lab.event("started", &t.id, &self.name);
                     changed = true;
                 }
@@ -823,10 +833,14 @@
                     run_s: 0.0,
                     stow_s: 0.0,
                     saves: false,
+                    image: String::new(),
+                    fetch_s: 0.0,
                 };
                 if let Some((spec, run_s)) = job.filter(|(spec, _)| index < spec.get("takes").u64().unwrap_or(0)) {
                     let n = |k: &str| spec.get(k).f64();
                     task.need = (n("vcpus"), n("gpus"), n("memoryGb"));
+                    task.image = spec.get("pressing").str().to_string();
+                    task.fetch_s = n("pullGb") / self.hull.fetch_gb_per_s;
                     (task.run_s, task.stow_s, task.saves) = (run_s, n("stowS"), n("snapshotS") > 0.0);
                     let on = |t: &&Task| t.state != "exited";
                     let used = s.tasks.iter().filter(on).fold((0.0, 0.0, 0.0), |u, t| {
@@ -1009,7 +1023,9 @@
             lab.rec(format!("{} dropped a response with token {helm}", self.name));
             return None;
         }
-        if helm > s.helm {
+        let half = Duration::from_secs_f64(lab.site.lease_s / 2.0);
+        if helm > s.helm && s.token_change.is_none_or(|at| at.elapsed() > half) {
+            s.token_change = Some(Instant::now());
             s.changed = true;
         }
         s.helm = helm;
