Log on what a cancellation was acknowledged: the wait, the leader and what it knows

Three causes fit what callers see: the leader knew of the cancellation and started nevertheless; the leader was not heard and so not awaited; or it was awaited and the wait ended without it. The line told them apart from nothing but the majority.

It now names the wait, the leader that the node hears, and whether that leader knows.

--- a/crates/core/src/api/cancellation_replication.rs
+++ b/crates/core/src/api/cancellation_replication.rs
@@ -166,7 +166,7 @@
         context: &AcknowledgementContext<'_>,
     ) -> Option<Acknowledgement> {
         if self.may_acknowledge(request.job(), version, Span(0), context) {
-            self.log_acknowledgement(request.job(), version);
+            self.log_acknowledgement(request.job(), version, Span(0), context);
             return Some(Acknowledgement::Respond(request));
         }
         (self.knowledge).request_replication(request.job(), version);
@@ -195,12 +195,25 @@
         is_majority && leader_settled || context.is_surely_without_tasks(id)
     }
 
-    /// Logs the basis on which a cancellation is acknowledged to its user: the revision of the cancellation, and
-    /// whether a majority knows it. If no majority knows it, no task of the job is left.
-    fn log_acknowledgement(&self, id: &JobId, version: Version) {
-        let is_known_to_majority = self.knowledge.is_known_to_majority(id, version);
+    /// Logs the basis on which a cancellation is acknowledged to its user: the revision of the cancellation, whether a
+    /// majority knows it, and the leader that this node hears and whether that leader knows it. If no majority knows
+    /// it, no task of the job is left.
+    fn log_acknowledgement(
+        &self,
+        id: &JobId,
+        version: Version,
+        waited: Span,
+        context: &AcknowledgementContext<'_>,
+    ) {
+        let known_to_majority = self.knowledge.is_known_to_majority(id, version);
+        let leader = context.reachable_leader.as_ref();
+        let known_to_leader =
+            leader.is_some_and(|leader| self.knowledge.is_known_to(leader, id, version));
+        let leader = leader.map_or("none", |leader| leader.as_str());
         log::debug!(
-            "cancellation acknowledged to its user job={id} version={version} known_to_majority={is_known_to_majority}"
+            "cancellation acknowledged to its user job={id} version={version} waited_ms={} \
+             known_to_majority={known_to_majority} leader={leader} known_to_leader={known_to_leader}",
+            waited.0
         );
     }
 
@@ -214,7 +227,7 @@
             };
             let waited = context.now.time - since;
             if self.may_acknowledge(request.job(), known.version, waited, context) {
-                self.log_acknowledgement(request.job(), known.version);
+                self.log_acknowledgement(request.job(), known.version, waited, context);
                 decided.push(Acknowledgement::Respond(request));
             } else if waited > ACKNOWLEDGEMENT_TIMEOUT {
                 self.watermark_publication.request_from_peers(known.version);
