Log why a job that finds no room may not use the machines

What callers see, and the log, fitted several causes: the tasks still count as on the lost machine, the team's limit, avoidance of machines after failures, room reserved for gangs or arrivals, or a rule that keeps the job off the machines.

A job whose limits allow another task and that finds no room now gets a debug line with the number of machines by the reason against each; the check of eligibility names its reason instead of a yes or no.

--- a/crates/core/src/scheduling/actions/allocate.rs
+++ b/crates/core/src/scheduling/actions/allocate.rs
@@ -6,6 +6,7 @@
 //! for all tasks of the same class in this cycle.
 
 use super::gang_reservation::reserve_for_gangs;
+use super::predicates::log_exclusions;
 use super::scoring::{best_machine, rank_machines, task_slots, ImagePreference, RankedMachine};
 use super::task_class::TaskClass;
 use crate::jobs::job::Job;
@@ -116,6 +117,7 @@
         let found_no_more_room =
             placements.is_empty() || (placements.len() < TASKS_PER_TURN && has_more);
         if found_no_more_room && snapshot.allows_one_more(leader, job) {
+            log_exclusions(leader, snapshot, job);
             refused.insert(class);
         }
         placed.extend(placements);
--- a/crates/core/src/scheduling/actions/predicates.rs
+++ b/crates/core/src/scheduling/actions/predicates.rs
@@ -5,6 +5,7 @@
 use crate::scheduling::snapshot::{has_zone_rules, CandidateMachine, Snapshot};
 use rudderreel_wire::ids::{TypeName, Zone};
 use rudderreel_wire::job::{JobSpec, Kind};
+use std::collections::BTreeMap;
 
 /// Factor by which a task is expected to exceed its owner's estimate: estimates are often too short.
 const ESTIMATE_FACTOR: f64 = 1.4;
@@ -23,6 +24,23 @@
         && (spec.zone.as_ref()).is_none_or(|wanted| wanted == zone)
 }
 
+/// The reason why a task of a job must not be placed on a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Exclusion {
+    /// The job excludes the machine's type, zone or market.
+    NodeAffinity,
+    /// The machine is reserved for another gang.
+    ReservedForGang,
+    /// Tasks of the job have failed on the machine.
+    Failures,
+    /// The machine's GPUs are for other work.
+    Gpus,
+    /// The other tasks of the job exclude the machine's zone.
+    ZoneRules,
+    /// The machine lacks free resources, apart from those that are reserved for urgent arrivals.
+    Resources,
+}
+
 /// Returns whether one more task of the job fits on a machine: the machine has room and is eligible.
 pub fn fits(leader: &Leader, snapshot: &Snapshot, job: &Job, candidate: &CandidateMachine) -> bool {
     candidate.free_for(job).holds(&job.need) && is_eligible(leader, snapshot, job, candidate)
@@ -35,19 +53,55 @@
     job: &Job,
     candidate: &CandidateMachine,
 ) -> bool {
+    check_eligibility(leader, snapshot, job, candidate).is_ok()
+}
+
+/// Checks whether one more task of the job may be placed on a machine if there is room. Returns the first reason
+/// against it.
+fn check_eligibility(
+    leader: &Leader,
+    snapshot: &Snapshot,
+    job: &Job,
+    candidate: &CandidateMachine,
+) -> Result<(), Exclusion> {
     let is_allowed = satisfies_node_affinity(
         &job.spec,
         &candidate.machine_type,
         &candidate.zone,
         candidate.is_spot,
     );
-    is_allowed
-        && !is_reserved_for_other_gang(job, candidate)
-        && !job
-            .failures
-            .avoids_machine(&candidate.id, snapshot.now.time)
-        && !wastes_gpus(leader, job, candidate)
-        && satisfies_zone_rules(snapshot, &job.spec, candidate.zone_index)
+    if !is_allowed {
+        Err(Exclusion::NodeAffinity)
+    } else if is_reserved_for_other_gang(job, candidate) {
+        Err(Exclusion::ReservedForGang)
+    } else if (job.failures).avoids_machine(&candidate.id, snapshot.now.time) {
+        Err(Exclusion::Failures)
+    } else if wastes_gpus(leader, job, candidate) {
+        Err(Exclusion::Gpus)
+    } else if !satisfies_zone_rules(snapshot, &job.spec, candidate.zone_index) {
+        Err(Exclusion::ZoneRules)
+    } else {
+        Ok(())
+    }
+}
+
+/// Logs why a job that found no room may not use the machines of the snapshot: the number of machines by the reason
+/// against each.
+pub(super) fn log_exclusions(leader: &Leader, snapshot: &Snapshot, job: &Job) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let mut machines: BTreeMap<Exclusion, usize> = BTreeMap::new();
+    for candidate in &snapshot.candidates {
+        let checked = check_eligibility(leader, snapshot, job, candidate);
+        let exclusion = checked.err().unwrap_or(Exclusion::Resources);
+        *machines.entry(exclusion).or_default() += 1;
+    }
+    log::debug!(
+        "no room job={} machines={} excluded={machines:?}",
+        job.spec.id,
+        snapshot.candidates.len()
+    );
 }
 
 /// Returns whether a machine is reserved for another gang and therefore closed to the job. Non-preemptible work takes
