Judge on which machine types a job can run in one place, by type and zone

Cause: two places judged the same by other rules. Work without GPUs stays off machines with free GPUs if it could ever run elsewhere, which looked at the types that the job allows but not at the zones where the cloud offers them; admission looked at both. So every machine of the zone was refused, and none was rented.

The simulated cloud offered one type without GPUs; it can offer several, and the check on waiting jobs judges by type and GPUs.

Why it works: jobs::node_affinity::usable_machine_types is the one answer to on which types a job can ever run, and admission, the rule on GPUs (placement, renting, victims, scale-in) and the comparison of prices ask it. Besides, admission no longer takes a type for usable that is offered in no zone.

--- a/crates/controller/tests/loopback/stand_ins.rs
+++ b/crates/controller/tests/loopback/stand_ins.rs
@@ -1,7 +1,7 @@
 //! Serves the stand-ins for the store and the cloud over HTTP on loopback, and starts the agents of rented machines.
 
 use crate::agents::{LoopbackAgent, Shared};
-use crate::cloud::Cloud;
+use crate::cloud::{Cloud, OfferedType};
 use crate::store::{Limits, Store};
 use rudderreel_core::{CloudAnswer, CloudCall, StoreAnswer, StoreCall, Value};
 use rudderreel_wire::ids::{LeaseId, MachineId, Version};
@@ -62,7 +62,10 @@
     pub fn start(controllers: usize, machines: usize, shared: Arc<Shared>) -> Self {
         let stand_ins = Arc::new(StandIns {
             store: Mutex::new(Store::with_limits(GENEROUS_LIMITS)),
-            cloud: Mutex::new(Cloud::new(machines, BOOT_MS, &["a", "b"])),
+            cloud: Mutex::new(Cloud::new(
+                BOOT_MS,
+                vec![OfferedType::without_gpus(machines, &["a", "b"])],
+            )),
             started: Instant::now(),
             agents: Mutex::default(),
             shared,
--- a/crates/core/src/api/admission.rs
+++ b/crates/core/src/api/admission.rs
@@ -10,6 +10,7 @@
 use crate::cache::dependencies::Ancestry;
 use crate::cache::job_cache::JobCache;
 use crate::io::StoreCall;
+use crate::jobs::node_affinity::usable_machine_types;
 use crate::store::limits::StoreLimits;
 use crate::store::records::{job_key, JobRecord};
 use crate::store::transactions::{condition, put};
@@ -114,7 +115,7 @@
     fn check_resources(&self, spec: &JobSpec, catalog: &Catalog) -> Result<(), NeverRuns> {
         let team = self.teams.find(&spec.team).ok_or(NeverRuns::UnknownTeam)?;
         let task = Resources::of_task(spec);
-        if !fits_a_machine_type(spec, &task, catalog) {
+        if usable_machine_types(catalog, spec, &task).next().is_none() {
             return Err(NeverRuns::FitsNoMachine);
         }
         // Tasks of an array may run one after another; tasks of the other kinds run together.
@@ -201,18 +202,6 @@
     Ok(())
 }
 
-/// Returns whether a machine type that a job allows can hold one of its tasks.
-fn fits_a_machine_type(spec: &JobSpec, task: &Resources, catalog: &Catalog) -> bool {
-    catalog.types.iter().any(|machine_type| {
-        let allows_type =
-            (spec.types.as_ref()).is_none_or(|types| types.contains(&machine_type.name));
-        let is_in_zone = |zone| machine_type.zones.is_empty() || machine_type.zones.contains(zone);
-        allows_type
-            && spec.zone.as_ref().is_none_or(is_in_zone)
-            && Resources::of_machine(machine_type).holds(task)
-    })
-}
-
 /// Returns a commit of a job's record, on the condition that this job and some other jobs still have these versions.
 pub fn put_job(
     id: &JobId,
--- a/crates/core/src/capacity/bin_packing.rs
+++ b/crates/core/src/capacity/bin_packing.rs
@@ -2,8 +2,9 @@
 
 use crate::cloud::scale_out_requests::InstanceOffer;
 use crate::jobs::job::Job;
+use crate::jobs::node_affinity::satisfies_node_affinity;
 use crate::leader::Leader;
-use crate::scheduling::actions::{satisfies_node_affinity, should_avoid_gpus};
+use crate::scheduling::actions::should_avoid_gpus;
 use crate::scheduling::snapshot::CandidateMachine;
 use crate::units::Resources;
 use rudderreel_wire::ids::Zone;
--- a/crates/core/src/capacity/offers.rs
+++ b/crates/core/src/capacity/offers.rs
@@ -3,8 +3,9 @@
 use super::bin_packing::{Bins, TasksByZone};
 use crate::cloud::scale_out_requests::InstanceOffer;
 use crate::jobs::job::Job;
+use crate::jobs::node_affinity::{satisfies_node_affinity, usable_machine_types};
 use crate::leader::Leader;
-use crate::scheduling::actions::{satisfies_node_affinity, should_avoid_gpus};
+use crate::scheduling::actions::should_avoid_gpus;
 use crate::units::{Resources, Time};
 use rudderreel_wire::cloud::MachineType;
 use rudderreel_wire::ids::Zone;
@@ -98,11 +99,7 @@
     /// Returns whether the cheapest machine for a job costs so little compared with the most expensive type that all of
     /// the job's tasks may run at once.
     pub(super) fn runs_cheaply(&self, job: &Job) -> bool {
-        let lowest_price = (self.policy.catalog.types.iter())
-            .filter(|machine_type| Resources::of_machine(machine_type).holds(&job.need))
-            .filter(|machine_type| {
-                (job.spec.types.as_ref()).is_none_or(|types| types.contains(&machine_type.name))
-            })
+        let lowest_price = usable_machine_types(&self.policy.catalog, &job.spec, &job.need)
             .map(|machine_type| machine_type.price)
             .fold(f64::INFINITY, f64::min);
         lowest_price * CHEAP_RATIO <= self.policy.catalog.highest_price()
--- a/crates/core/src/dispatch/start_check.rs
+++ b/crates/core/src/dispatch/start_check.rs
@@ -6,8 +6,8 @@
 use super::team_usage::TeamUsage;
 use crate::fleet::{Machine, PlacedTask};
 use crate::jobs::job::Job;
+use crate::jobs::node_affinity::satisfies_node_affinity;
 use crate::leader::Leader;
-use crate::scheduling::actions;
 use crate::teams::team_tree::{amounts, RESOURCE_KINDS};
 use crate::units::Time;
 use rudderreel_wire::ids::Zone;
@@ -90,7 +90,7 @@
         let may_be_elsewhere = job.may_be_elsewhere(placed.task.index, &machine.id, placed.attempt);
         let is_reconciled = machine.is_reconciled(self.term.epoch())
             && machine.is_heard_within(self.agent_timings.lease, now);
-        let is_allowed = actions::satisfies_node_affinity(
+        let is_allowed = satisfies_node_affinity(
             &job.spec,
             &machine.machine_type,
             &machine.zone,
--- a/crates/core/src/leader/policy.rs
+++ b/crates/core/src/leader/policy.rs
@@ -3,6 +3,7 @@
 //! The platform's settings come from the settings file and are fixed for the life of the process; operators' settings
 //! override them and may change at any time ([`SchedulingPolicy::apply`]).
 
+use crate::jobs::node_affinity::usable_machine_types;
 use crate::teams::team_tree::TeamTree;
 use crate::units::{Resources, Span};
 use rudderreel_wire::admin::AdminSettings;
@@ -90,13 +91,10 @@
             .unwrap_or_default()
     }
 
-    /// Returns whether a machine type without GPUs that the job allows could run the job's tasks.
+    /// Returns whether a job could run its tasks on some machine type without GPUs.
     pub fn fits_without_gpus(&self, spec: &JobSpec, need: &Resources) -> bool {
-        self.catalog.types.iter().any(|t| {
-            t.gpus <= 0.0
-                && spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
-                && Resources::of_machine(t).holds(need)
-        })
+        let mut types = usable_machine_types(&self.catalog, spec, need);
+        types.any(|machine_type| machine_type.gpus <= 0.0)
     }
 }
 
--- a/crates/core/src/scheduling/actions/mod.rs
+++ b/crates/core/src/scheduling/actions/mod.rs
@@ -25,7 +25,7 @@
 
 pub use allocate::{allocate_non_preemptible, allocate_preemptible};
 pub use consolidate::consolidate;
-pub use predicates::{fits, satisfies_node_affinity, should_avoid_gpus};
+pub use predicates::{fits, should_avoid_gpus};
 pub use preempt::preempt;
 pub use reclaim::reclaim;
 pub use reclaim_gang::reclaim_gangs;
--- a/crates/core/src/scheduling/actions/predicates.rs
+++ b/crates/core/src/scheduling/actions/predicates.rs
@@ -1,9 +1,9 @@
 //! Filters: decide which machines a task may be placed on.
 
 use crate::jobs::job::Job;
+use crate::jobs::node_affinity::satisfies_node_affinity;
 use crate::leader::Leader;
 use crate::scheduling::snapshot::{has_zone_rules, CandidateMachine, Snapshot};
-use rudderreel_wire::ids::{TypeName, Zone};
 use rudderreel_wire::job::{JobSpec, Kind};
 use std::collections::BTreeMap;
 
@@ -12,18 +12,6 @@
 /// Time in seconds that a start takes in addition, mostly to fetch the image.
 const START_DELAY_S: f64 = 8.0;
 
-/// Node affinity: returns whether a job may use machines of a type and zone, and spot instances.
-pub fn satisfies_node_affinity(
-    spec: &JobSpec,
-    machine_type: &TypeName,
-    zone: &Zone,
-    is_spot: bool,
-) -> bool {
-    (spec.spot || !is_spot)
-        && (spec.types.as_ref()).is_none_or(|types| types.contains(machine_type))
-        && (spec.zone.as_ref()).is_none_or(|wanted| wanted == zone)
-}
-
 /// The reason why a task of a job must not be placed on a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Exclusion {
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -4,6 +4,7 @@
 mod cancellations_in_outages;
 mod decision_trace;
 mod large_fleets;
+mod machines_with_gpus;
 mod one_way_machines_and_cut_nodes;
 mod overlapping_faults;
 mod paused_nodes;
--- a/crates/core/tests/sim/world/agent.rs
+++ b/crates/core/tests/sim/world/agent.rs
@@ -2,7 +2,7 @@
 
 use super::ObservedJob;
 use rudderreel_wire::cloud::ScaleOutRequest;
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, JobId, MachineId, Seq, TaskId};
+use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, JobId, MachineId, Seq, TaskId, TypeName};
 use rudderreel_wire::job::Kind;
 use rudderreel_wire::worker::{Cause, Command, StatusReport, TaskState, TaskStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -91,6 +91,10 @@
         }
     }
 
+    pub fn machine_type(&self) -> &TypeName {
+        &self.scale_out.machine_type
+    }
+
     pub fn zone(&self) -> &str {
         self.scale_out.zone.as_str()
     }
--- a/crates/core/tests/sim/world/cloud.rs
+++ b/crates/core/tests/sim/world/cloud.rs
@@ -4,13 +4,55 @@
 use rudderreel_wire::cloud::{
     Catalog, ListedMachine, ListedState, MachineNames, MachinePage, MachineType, ScaleOutRequest,
 };
-use rudderreel_wire::ids::MachineId;
+use rudderreel_wire::ids::{MachineId, TypeName};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Nominal boot time of a machine, in seconds.
+const BOOT_S: f64 = 4.0;
 /// Maximum number of machines on a page of the cloud's list, by the protocol.
 const MAX_PAGE_MACHINES: usize = 500;
 
-/// A simulated cloud with one machine type.
+/// A machine type that the simulated cloud offers. All types have 4 CPUs.
+#[derive(Clone, Copy, Debug)]
+pub struct OfferedType {
+    pub name: &'static str,
+    pub gpus: f64,
+    pub price: f64,
+    /// Zones in which the type is offered.
+    pub zones: &'static [&'static str],
+    /// Maximum number of machines of this type that can be rented at the same time.
+    pub capacity: usize,
+}
+
+impl OfferedType {
+    /// Returns a type without GPUs.
+    pub fn without_gpus(capacity: usize, zones: &'static [&'static str]) -> Self {
+        Self {
+            name: "m4",
+            gpus: 0.0,
+            price: 1.0,
+            zones,
+            capacity,
+        }
+    }
+
+    fn machine_type(&self) -> MachineType {
+        MachineType {
+            name: self.name.into(),
+            cpus: 4.0,
+            gpus: self.gpus,
+            memory_gb: 16.0,
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: self.price,
+            spot_price: Some(0.3 * self.price),
+            boot_s: BOOT_S,
+            zones: self.zones.iter().map(|zone| (*zone).into()).collect(),
+        }
+    }
+}
+
+/// A simulated cloud.
 #[derive(Default)]
 pub struct Cloud {
     /// Rented machines by the id of their request, so that a repeated request rents nothing more.
@@ -22,26 +64,38 @@
     /// Machines that were returned since the last call of [`Cloud::take_returned`].
     returned: Vec<MachineId>,
     next_id: u32,
-    /// Maximum number of machines that can be rented at the same time.
-    capacity: usize,
+    types: Vec<OfferedType>,
     /// Shortest and longest boot time of a machine, in milliseconds.
     boot_ms: (u64, u64),
-    zones: &'static [&'static str],
     /// Whether the cloud refuses all calls.
     pub down: bool,
 }
 
 impl Cloud {
-    /// Creates a cloud with a capacity, a range of boot times, and zones.
-    pub fn new(capacity: usize, boot_ms: (u64, u64), zones: &'static [&'static str]) -> Self {
+    /// Creates a cloud with a range of boot times and machine types.
+    pub fn new(boot_ms: (u64, u64), types: Vec<OfferedType>) -> Self {
         Self {
-            capacity,
             boot_ms,
-            zones,
+            types,
             ..Self::default()
         }
     }
 
+    /// Returns how many more machines of a type can be rented.
+    fn remaining_capacity(&self, name: &TypeName) -> usize {
+        let offered = self.types.iter().find(|t| t.name == name.as_str());
+        let rented = self.machines.values();
+        let rented = rented.filter(|(request, _)| request.machine_type == *name);
+        offered.map_or(0, |offered| offered.capacity.saturating_sub(rented.count()))
+    }
+
+    /// Takes a machine back without notice.
+    pub fn reclaim(&mut self, id: &MachineId) {
+        self.machines.remove(id);
+        self.booting.remove(id);
+        self.returned.push(id.clone());
+    }
+
     /// Returns the boot time of a machine, which varies with its id.
     fn boot_duration_ms(&self, id: &MachineId) -> u64 {
         let n = id.as_str().bytes().map(u64::from).sum::<u64>() % 7;
@@ -75,28 +129,15 @@
         }
         match call {
             CloudCall::Catalog => CloudAnswer::Catalog(Catalog {
-                types: vec![MachineType {
-                    name: "m4".into(),
-                    cpus: 4.0,
-                    gpus: 0.0,
-                    memory_gb: 16.0,
-                    cache_gb: 10.0,
-                    fetch_gb_per_s: 1.0,
-                    price: 1.0,
-                    spot_price: Some(0.3),
-                    boot_s: 4.0,
-                    zones: self.zones.iter().map(|zone| (*zone).into()).collect(),
-                }],
+                types: (self.types.iter()).map(OfferedType::machine_type).collect(),
             }),
             CloudCall::ScaleOut(request) => {
                 if let Some(machines) = self.requested.get(&request.request) {
                     let machines = machines.clone();
                     return CloudAnswer::Rented(MachineNames { machines });
                 }
-                let room = self
-                    .capacity
-                    .saturating_sub(self.machines.len())
-                    .min(request.count as usize);
+                let room = self.remaining_capacity(&request.machine_type);
+                let room = room.min(request.count as usize);
                 if room == 0 {
                     return CloudAnswer::NoCapacity;
                 }
@@ -107,9 +148,7 @@
             }
             CloudCall::ScaleIn(names) => {
                 for id in &names.machines {
-                    self.machines.remove(id);
-                    self.booting.remove(id);
-                    self.returned.push(id.clone());
+                    self.reclaim(id);
                 }
                 CloudAnswer::Returned
             }
--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -22,11 +22,12 @@
 mod store_calls;
 mod users;
 
+pub use cloud::OfferedType;
 pub use faults::Fault;
 pub use old_version::NodeVersion;
 pub use scenario::Scenario;
 
-use agent::SimulatedAgent;
+pub use agent::SimulatedAgent;
 use cloud::Cloud;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -271,7 +272,7 @@
             rng,
             settings,
             store: Store::with_limits(scenario.store),
-            cloud: Cloud::new(scenario.machines, scenario.boot_ms, scenario.zone_names),
+            cloud: Cloud::new(scenario.boot_ms, scenario.offered_types()),
             agents: BTreeMap::new(),
             jobs: BTreeMap::new(),
             results: BTreeMap::new(),
--- a/crates/core/tests/sim/world/rule_checks.rs
+++ b/crates/core/tests/sim/world/rule_checks.rs
@@ -1,6 +1,27 @@
 //! Checks of the protocol's rules during a run and at its end.
 
 use super::*;
+use rudderreel_wire::ids::{TypeName, Zone};
+
+/// The free resources of a machine.
+struct Room {
+    machine_type: TypeName,
+    zone: Zone,
+    is_spot: bool,
+    free_cpus: f64,
+    free_gpus: f64,
+}
+
+impl Room {
+    /// Returns whether a task of a job may be started on the machine and has room there.
+    fn fits_task_of(&self, spec: &JobSpec) -> bool {
+        self.free_cpus >= spec.cpus
+            && self.free_gpus >= spec.gpus
+            && (spec.spot || !self.is_spot)
+            && (spec.types.as_ref()).is_none_or(|types| types.contains(&self.machine_type))
+            && spec.zone.as_ref().is_none_or(|zone| *zone == self.zone)
+    }
+}
 
 impl World {
     /// Returns a text for each task that the commands start although its job is cancelled and the job's tasks must be
@@ -45,19 +66,26 @@
             return;
         };
         let mut used: BTreeMap<String, f64> = BTreeMap::new();
-        let mut room: Vec<(String, bool, f64)> = Vec::new();
+        let mut rooms: Vec<Room> = Vec::new();
         for agent in self.agents.values() {
-            let mut free = 4.0;
+            let mut room = Room {
+                machine_type: agent.machine_type().clone(),
+                zone: agent.zone().into(),
+                is_spot: agent.is_spot(),
+                free_cpus: 4.0,
+                free_gpus: self.scenario.gpus_of(agent.machine_type()),
+            };
             for task in agent
                 .tasks
                 .values()
                 .filter(|t| t.state != TaskState::Exited)
             {
                 let spec = &self.jobs[&task.task.job].spec;
-                free -= spec.cpus;
+                room.free_cpus -= spec.cpus;
+                room.free_gpus -= spec.gpus;
                 *used.entry(spec.team.to_string()).or_default() += spec.cpus;
             }
-            room.push((agent.zone().into(), agent.is_spot(), free));
+            rooms.push(room);
         }
         let active_tasks: BTreeMap<JobId, usize> = (self.jobs.keys())
             .map(|id| (id.clone(), self.tasks_of(id)))
@@ -87,11 +115,7 @@
             });
             let below_limit =
                 used.get(spec.team.as_str()).copied().unwrap_or(0.0) + spec.cpus <= limit;
-            let fits = room.iter().any(|(zone, spot, free)| {
-                *free >= spec.cpus
-                    && (spec.spot || !spot)
-                    && spec.zone.as_ref().is_none_or(|z| z.as_str() == zone)
-            });
+            let fits = rooms.iter().any(|room| room.fits_task_of(spec));
             if !(waits && below_limit && fits) {
                 job.startable_since = None;
                 continue;
--- a/crates/core/tests/sim/world/scenario.rs
+++ b/crates/core/tests/sim/world/scenario.rs
@@ -1,15 +1,19 @@
 //! The parameters of a simulated run, and the settings that its nodes are started with.
 
+use super::cloud::OfferedType;
 use super::store::{Limits, DEFAULT_LIMITS};
 use super::Fault;
+use rudderreel_wire::ids::TypeName;
 use rudderreel_wire::settings::Settings;
 
 /// The parameters of a simulated run.
 #[derive(Clone, Debug)]
 pub struct Scenario {
     pub nodes: usize,
-    /// Number of machines that the cloud has.
+    /// Number of machines that the cloud has, unless it offers several types.
     pub machines: usize,
+    /// Machine types that the cloud offers; empty for one type without GPUs in all zones.
+    pub machine_types: Vec<OfferedType>,
     /// Number of jobs that users submit.
     pub jobs: u32,
     /// Users submit more jobs than there is room for: a steady flow of small arrays, mostly from one team,
@@ -81,6 +85,7 @@
         Self {
             nodes: 3,
             machines: 10,
+            machine_types: Vec::new(),
             jobs: 24,
             crowd: false,
             spread: false,
@@ -127,6 +132,25 @@
         }
     }
 
+    /// Returns whether the cloud offers machines with GPUs.
+    pub(super) fn offers_gpus(&self) -> bool {
+        self.machine_types.iter().any(|t| t.gpus > 0.0)
+    }
+
+    /// Returns the number of GPUs of a machine type.
+    pub(super) fn gpus_of(&self, name: &TypeName) -> f64 {
+        let offered = self.machine_types.iter().find(|t| t.name == name.as_str());
+        offered.map_or(0.0, |offered| offered.gpus)
+    }
+
+    /// Returns the machine types that the cloud offers.
+    pub(super) fn offered_types(&self) -> Vec<OfferedType> {
+        if !self.machine_types.is_empty() {
+            return self.machine_types.clone();
+        }
+        vec![OfferedType::without_gpus(self.machines, self.zone_names)]
+    }
+
     /// Returns the time within which the tasks of a cancelled job must be gone, in milliseconds.
     pub(super) fn cancel_ms(&self) -> u64 {
         self.cancel_s * 1_000
--- a/crates/core/tests/sim/world/users.rs
+++ b/crates/core/tests/sim/world/users.rs
@@ -124,13 +124,16 @@
         let scatter = kind == "standing" && !self.scenario.zone_bound_jobs && rng.random_bool(0.5);
         let berth = (self.scenario.zone_bound_jobs && rng.random_bool(0.5))
             .then(|| ["a", "b"][rng.random_range(0..2)]);
+        let gpus = f64::from(u8::from(
+            self.scenario.offers_gpus() && self.rng.random_bool(0.3),
+        ));
         let needs = self.draw_dependencies();
         let expected_s = (self.scenario.run_ms)
             .map_or(4.0, |(first, increase)| (first + increase / 2) as f64 / 1e3);
         let rng = &mut self.rng;
         let value = serde_json::json!({
             "id": format!("wk-{:06}", self.next_job), "reel": kind, "crew": team, "rig": kind,
-            "precedence": priority, "takes": tasks, "vcpus": 1.0, "gpus": 0.0, "memoryGb": 1.0,
+            "precedence": priority, "takes": tasks, "vcpus": 1.0, "gpus": gpus, "memoryGb": 1.0,
             "pressing": format!("img-{}", rng.random_range(0..2)), "pullGb": 0.5, "hulls": null,
             "berth": berth, "together": together, "scatter": scatter,
             "driftwood": kind != "standing", "expectedS": expected_s, "snapshotS": 0.0, "stowS": 0.0,
