Pass on no start of a job that is known to be cancelled

What callers could see: a node tells a user that a job is cancelled, and then passes a start of the job on to an agent. Found while the paths beside the cut-off leader were looked at.

Cause: an action on stale knowledge. In a large fleet nodes forward status reports to the leader and pass its answers on. The leader may have answered with a start before it learned of the cancellation, and the answer may arrive after the cancellation was confirmed.

Why it works: the node that passes an answer on leaves out the starts of jobs that it knows to be cancelled, and a node that tells a user knows. A node that does not know passes on what was in flight when the user was told, which the protocol allows ("tasks whose start command was still in flight included"). The leader finds the start missing in the next report, as with any lost answer.

--- a/crates/core/src/cache/cancellations.rs
+++ b/crates/core/src/cache/cancellations.rs
@@ -1,12 +1,13 @@
 //! Cancelled jobs: their replication between nodes, and the stop commands for their tasks.
 
 use super::job_cache::JobCache;
+use crate::io::json;
 use crate::store::records::JobRecord;
 use crate::units::Wall;
 use rudderreel_wire::ids::{JobId, Version};
 use rudderreel_wire::job::JobState;
 use rudderreel_wire::peer::CancelledJob;
-use rudderreel_wire::worker::{Command, StatusReport, TaskState, TaskStatus};
+use rudderreel_wire::worker::{Command, StatusReport, StatusReportReply, TaskState, TaskStatus};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Cancelled jobs by the revision of their cancellation. One transaction may cancel several.
@@ -100,6 +101,24 @@
             })
             .collect()
     }
+
+    /// Returns another node's answer to a status report, as JSON, without the starts of jobs that this node knows to be
+    /// cancelled: it may have told their users so since the other node answered.
+    pub fn without_cancelled_starts(&self, answer: String) -> String {
+        let Ok(reply) = serde_json::from_str::<StatusReportReply>(&answer) else {
+            return answer;
+        };
+        let is_cancelled_start = |command: &Command| match command {
+            Command::Start { task, .. } => self.is_cancelled(&task.job),
+            Command::Stop { .. } | Command::Forget { .. } => false,
+        };
+        if !reply.commands.iter().any(is_cancelled_start) {
+            return answer;
+        }
+        let mut commands = reply.commands;
+        commands.retain(|command| !is_cancelled_start(command));
+        json(&StatusReportReply { commands, ..reply })
+    }
 }
 
 #[cfg(test)]
--- a/crates/core/src/node/report_forwarding.rs
+++ b/crates/core/src/node/report_forwarding.rs
@@ -154,7 +154,10 @@
                 self.election.observe_epoch(epoch, now.time);
                 for answer in answers {
                     match answer.body {
-                        Some(body) => self.answer(answer.req, 200, body),
+                        Some(body) => {
+                            let body = self.job_cache.without_cancelled_starts(body);
+                            self.answer(answer.req, 200, body);
+                        }
                         None => self.refuse(answer.req, Refusal::NotEntitled),
                     }
                 }
--- a/crates/core/src/node/report_forwarding/tests.rs
+++ b/crates/core/src/node/report_forwarding/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 use crate::agents::report_forwarding::MAX_REPORT_WAIT;
 use crate::testing::NOW;
-use rudderreel_wire::ids::{Attempt, Epoch, JobId, Seq};
-use rudderreel_wire::peer::{ForwardedAnswer, MAX_MESSAGE_BYTES};
-use rudderreel_wire::worker::TaskStatus;
+use rudderreel_wire::ids::{Attempt, Epoch, JobId, Seq, Version};
+use rudderreel_wire::peer::{CancelledJob, ForwardedAnswer, MAX_MESSAGE_BYTES};
+use rudderreel_wire::worker::{Command, StatusReportReply, TaskStatus};
 
 fn report(n: usize, tasks: usize) -> StatusReport {
     let machine = MachineId::from(format!("vm-{n:06}").as_str());
@@ -43,6 +43,53 @@
     node.out.drain(..).count()
 }
 
+/// Forwards the report of one machine, and returns the call.
+fn forward_one(node: &mut Node) -> CallId {
+    node.forward_report(ReqId(1), report(1, 1), NOW);
+    let mut now = NOW;
+    now.time = now.time + BATCH_INTERVAL;
+    node.forwarding_tick(now);
+    match node.out.drain(..).next() {
+        Some(Output::ForwardReports { call, .. }) => call,
+        other => panic!("a batch is expected: {other:?}"),
+    }
+}
+
+/// The leader had answered before it learned that a job is cancelled, and this node passed the start of the job's task on
+/// after it had told the user so.
+#[test]
+fn a_start_is_not_passed_on_once_its_job_is_known_to_be_cancelled() {
+    let mut node = follower();
+    let call = forward_one(&mut node);
+    let cancelled: JobId = "wk-000007".parse().expect("an id");
+    let other: JobId = "wk-000008".parse().expect("an id");
+    node.job_cache.update_cancelled(&CancelledJob {
+        job: cancelled.to_string(),
+        version: Version(20),
+        cancelled_ms: NOW.wall.0,
+        submitted_ms: NOW.wall.0,
+        tasks: 1,
+    });
+    let start = |job: &JobId| Command::Start {
+        task: job.task(0),
+        attempt: Attempt(1),
+    };
+    let reply = |commands| StatusReportReply {
+        token: Epoch(1),
+        commands,
+    };
+    let answer = json(&reply(vec![start(&cancelled), start(&other)]));
+    let answers = ForwardedReportsReply {
+        token: Some(Epoch(1)),
+        answers: vec![ForwardedAnswer::Answered(Some(answer))],
+    };
+    node.forwarded_reports_answered(call, Some(answers), NOW);
+    let Some(Output::Answer { status, body, .. }) = node.out.drain(..).next() else {
+        panic!("an answer is expected");
+    };
+    assert_eq!((status, body), (200, json(&reply(vec![start(&other)]))));
+}
+
 /// When four of five nodes fail, all agents of a fleet of 4,000 or 6,000 report to the remaining node at once. A queue
 /// of a thousand reports made it refuse the others, whose agents then tried other nodes without success. All reports
 /// must be forwarded, in messages that the leader accepts, and only those that would be answered too late are refused.
--- a/crates/core/tests/sim/starts_after_cancellation.rs
+++ b/crates/core/tests/sim/starts_after_cancellation.rs
@@ -28,18 +28,14 @@
     Lost,
 }
 
-/// Submits an array of one task and returns its id once its start command was sent. The command does not reach the
-/// agent, so the leader repeats it with each answer to the agent's reports.
-fn submit_job_whose_start_is_repeated(world: &mut World, leader: usize, until: u64) -> JobId {
-    for agent in world.agents.values_mut() {
-        agent.unreachable_until = until;
-    }
-    let mut spec = replicas(9, 1);
+/// Submits an array of one task at a node, and returns its id once its start command was decided on.
+fn submit_and_wait_for_start(world: &mut World, n: u32, node: usize) -> JobId {
+    let mut spec = replicas(n, 1);
     (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
     let id = spec.id.clone();
     world.add_job(spec);
     let started_before = world.start_commands;
-    world.user_asks(leader, &id, UserAction::Submit);
+    world.user_asks(node, &id, UserAction::Submit);
     let latest = world.now + START_WITHIN_MS;
     while world.start_commands == started_before {
         assert!(world.now < latest, "no start command was sent for {id}");
@@ -48,6 +44,15 @@
     id
 }
 
+/// Submits an array of one task and returns its id once its start command was sent. The command does not reach the
+/// agent, so the leader repeats it with each answer to the agent's reports.
+fn submit_job_whose_start_is_repeated(world: &mut World, n: u32, node: usize, until: u64) -> JobId {
+    for agent in world.agents.values_mut() {
+        agent.unreachable_until = until;
+    }
+    submit_and_wait_for_start(world, n, node)
+}
+
 /// Cuts the leader off from the store and the other nodes while it repeats a start, and cancels the job at another
 /// node, which has to confirm the cancellation in time.
 fn cancel_while_leader_is_cut(seed: u64, nodes: usize, path: AnswerPath, contact: LeaderContact) {
@@ -62,7 +67,7 @@
         world.cut_from_peers(leader, end);
         world.run_until(world.now + LEADER_UNHEARD_AFTER_MS);
     }
-    let id = submit_job_whose_start_is_repeated(&mut world, leader, end);
+    let id = submit_job_whose_start_is_repeated(&mut world, 9, leader, end);
     let is_cancelled_elsewhere = matches!(
         path,
         AnswerPath::StatusRequest | AnswerPath::RepeatedSubmission
@@ -101,22 +106,6 @@
     }
 }
 
-/// Submits an array of one task at a node, and returns its id once its start command was decided on.
-fn submit_and_wait_for_start(world: &mut World, node: usize) -> JobId {
-    let mut spec = replicas(9, 1);
-    (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
-    let id = spec.id.clone();
-    world.add_job(spec);
-    let started_before = world.start_commands;
-    world.user_asks(node, &id, UserAction::Submit);
-    let latest = world.now + START_WITHIN_MS;
-    while world.start_commands == started_before {
-        assert!(world.now < latest, "no start command was sent for {id}");
-        world.run_until(world.now + 1);
-    }
-    id
-}
-
 /// Time for which direct calls wait in the leader's process.
 const CALL_WAIT_MS: u64 = 1_000;
 
@@ -131,7 +120,7 @@
             let nodes = 3;
             let (mut world, _, leader) = run_until_jobs_are_running(seed, nodes, false);
             world.delay_direct_calls(leader, world.now + START_WITHIN_MS);
-            let id = submit_and_wait_for_start(&mut world, leader);
+            let id = submit_and_wait_for_start(&mut world, 9, leader);
             world.delay_direct_calls(leader, world.now + CALL_WAIT_MS);
             if steps_down {
                 world.end_leases();
