Give the messages that replicate cancellations a module of their own

Which peer a message may be sent to, and what is in flight, is now cancellation_replication::peer_links; the replicator keeps what to send and whom to answer.

--- a/crates/core/src/api/cancellation_replication.rs
+++ b/crates/core/src/api/cancellation_replication.rs
@@ -36,6 +36,7 @@
 mod acknowledgement;
 mod knowledge;
 mod lease_barrier;
+mod peer_links;
 mod watermark_publication;
 
 use crate::api::refusal::Refusal;
@@ -43,8 +44,9 @@
 use crate::cache::job_cache::JobCache;
 use crate::store::records::WatermarkRecord;
 use crate::units::{Span, Time};
-use knowledge::{ClusterKnowledge, MissingCancellation};
+use knowledge::ClusterKnowledge;
 use lease_barrier::LeaseBarrier;
+use peer_links::PeerLinks;
 use rudderreel_wire::ids::{JobId, NodeName, Version};
 use rudderreel_wire::peer::{
     Catchup, Heartbeat, ReplicateCancellations, ReplicateCancellationsReply,
@@ -61,8 +63,6 @@
 const ACKNOWLEDGEMENT_TIMEOUT: Span = Span(300);
 /// Maximum number of requests that wait for acknowledgements.
 const MAX_WAITING_REQUESTS: usize = 400;
-/// Minimum time between the failure of a message that a peer did not answer and the next message to that peer.
-const REPLICATION_RETRY_INTERVAL: Span = Span(250);
 /// Approximate number of cancellations in one message. Further ones follow with the next message.
 const MAX_CANCELLATIONS_PER_MESSAGE: usize = 1_000;
 
@@ -73,23 +73,13 @@
     node: NodeName,
     knowledge: ClusterKnowledge,
     lease_barrier: LeaseBarrier,
-    /// The state of the messages to each peer.
-    links: BTreeMap<NodeName, PeerLink>,
+    links: PeerLinks,
     waiting: Vec<WaitingRequest>,
     /// Whether there may be cancellations to send.
     send_due: bool,
     watermark_publication: WatermarkPublication,
 }
 
-/// The state of the messages to one peer. One message is in flight at a time.
-#[derive(Debug, Default)]
-struct PeerLink {
-    /// The cancellations in the message that is in flight, if there is one.
-    in_flight: Option<Vec<MissingCancellation>>,
-    /// The time from which the next message may be sent, after a message that was not answered.
-    retry_at: Option<Time>,
-}
-
 /// A request whose job is cancelled, and which waits until its user may be told so.
 #[derive(Debug)]
 struct WaitingRequest {
@@ -115,20 +105,13 @@
     pub is_complete: bool,
 }
 
-impl PeerLink {
-    fn may_send(&self, now: Time) -> bool {
-        self.in_flight.is_none() && self.retry_at.is_none_or(|at| now >= at)
-    }
-}
-
 impl CancellationReplicator {
     /// Creates the replicator of a node that has just started.
     pub fn new(node: NodeName, peers: impl IntoIterator<Item = NodeName>, majority: usize) -> Self {
         let peers: BTreeSet<NodeName> = peers.into_iter().collect();
-        let links = peers.iter().cloned();
         Self {
             node,
-            links: links.map(|peer| (peer, PeerLink::default())).collect(),
+            links: PeerLinks::new(peers.iter().cloned()),
             knowledge: ClusterKnowledge::new(peers, majority),
             lease_barrier: LeaseBarrier::default(),
             waiting: Vec::new(),
@@ -279,29 +262,30 @@
         if !std::mem::take(&mut self.send_due) {
             return Vec::new();
         }
-        let mut messages = Vec::new();
-        for (peer, link) in &mut self.links {
-            if !link.may_send(now) {
-                continue;
-            }
-            let missing = (self.knowledge).missing_at(peer, MAX_CANCELLATIONS_PER_MESSAGE);
-            if missing.is_empty() {
-                continue;
-            }
-            let cancelled = (missing.iter())
-                .filter_map(|missing| jobs.cancellation(&missing.id, missing.version))
-                .collect();
-            link.in_flight = Some(missing);
-            messages.push(OutgoingReplication {
-                peer: peer.clone(),
-                message: ReplicateCancellations {
-                    from: self.node.to_string(),
-                    cancellation_watermark: self.knowledge.own_watermark(),
-                    cancelled,
-                },
-            });
+        let peers = self.links.peers_free_at(now);
+        (peers.into_iter())
+            .filter_map(|peer| self.message_to(peer, jobs))
+            .collect()
+    }
+
+    /// Returns the message with the cancellations that a peer may not know, if there are any. It counts as in flight.
+    fn message_to(&mut self, peer: NodeName, jobs: &JobCache) -> Option<OutgoingReplication> {
+        let missing = (self.knowledge).missing_at(&peer, MAX_CANCELLATIONS_PER_MESSAGE);
+        if missing.is_empty() {
+            return None;
         }
-        messages
+        let cancelled = (missing.iter())
+            .filter_map(|missing| jobs.cancellation(&missing.id, missing.version))
+            .collect();
+        self.links.message_sent(&peer, missing);
+        Some(OutgoingReplication {
+            peer,
+            message: ReplicateCancellations {
+                from: self.node.to_string(),
+                cancellation_watermark: self.knowledge.own_watermark(),
+                cancelled,
+            },
+        })
     }
 
     /// Records that a peer has sent cancellations, which the peer therefore knows itself. Returns the reply.
@@ -329,7 +313,7 @@
         peer: &NodeName,
         reply: &ReplicateCancellationsReply,
     ) -> bool {
-        let Some(acknowledged) = self.message_ended(peer, None) else {
+        let Some(acknowledged) = self.links.message_answered(peer) else {
             return false;
         };
         for cancellation in &acknowledged {
@@ -340,22 +324,9 @@
         true
     }
 
-    /// Records that a peer gave no usable answer. The next message to it is sent no sooner than after
-    /// [`REPLICATION_RETRY_INTERVAL`].
+    /// Records that a peer gave no usable answer. The next message to it is sent after a delay.
     pub fn replication_unanswered(&mut self, peer: &NodeName, now: Time) {
-        self.message_ended(peer, Some(now + REPLICATION_RETRY_INTERVAL));
-    }
-
-    /// Ends the message in flight to a peer. Returns the cancellations in it, or none if no message was in flight.
-    fn message_ended(
-        &mut self,
-        peer: &NodeName,
-        retry_at: Option<Time>,
-    ) -> Option<Vec<MissingCancellation>> {
-        let link = self.links.get_mut(peer)?;
-        let ended = link.in_flight.take()?;
-        link.retry_at = retry_at;
-        Some(ended)
+        self.links.message_unanswered(peer, now);
     }
 
     /// Returns the cancellations that the sender of a heartbeat lacks, if it asks for a lease vote. Without this offer
--- a/crates/core/src/api/cancellation_replication/tests.rs
+++ b/crates/core/src/api/cancellation_replication/tests.rs
@@ -1,3 +1,4 @@
+use super::peer_links::REPLICATION_RETRY_INTERVAL;
 use super::*;
 use crate::io::{ReqId, RequestOrigin, UserRequest};
 use crate::leader::Leader;
