Let a job that finds no room for long take any that it fits in

What callers could see: work that could run without GPUs waits for ever if the cloud has no machine without GPUs left, although a machine with GPUs has room, and none with GPUs is rented for it.

Cause: a preference without an end. Work without GPUs stays off free GPUs, and evictable work off the room reserved for arrivals, to leave them to other work. The users' rule has an end: nobody is left waiting for 90 s beside room, and work begins within four minutes.

Why it works: the cycle records since when it has found no room for a job although its team's limits allow a task. After 60 s these preferences no longer apply to the job, after 120 s any machine is rented for it. Both end with the next task that is placed. A machine with GPUs that is used so is not returned as underused, or the work would wait again. The plan of capacity counted room for gangs on machines with GPUs that boot, on which it then placed nothing: one predicate now.

--- a/crates/core/src/api/user_requests/tests.rs
+++ b/crates/core/src/api/user_requests/tests.rs
@@ -34,6 +34,25 @@
     assert!(request.is_overdue(NOW.time + REQUEST_TIMEOUT + Span(1)));
 }
 
+/// An answer that is delayed beyond this finds nobody who waits for it.
+#[test]
+fn an_answer_may_be_delayed_only_while_the_requester_waits() {
+    let cancellation = |origin| {
+        let request = UserRequest::Cancel(job_id());
+        PendingRequest::new(ReqId(1), request, origin, NOW.time)
+    };
+    let awaited_for = [
+        (cancellation(RequestOrigin::Direct), 4_700),
+        (status_request(RequestOrigin::Direct), 1_700),
+        (cancellation(RequestOrigin::Peer), 300),
+        (status_request(RequestOrigin::Peer), 300),
+    ];
+    for (request, ms) in awaited_for {
+        assert!(request.is_awaited(NOW.time + Span(ms - 1)), "{request:?}");
+        assert!(!request.is_awaited(NOW.time + Span(ms)), "{request:?}");
+    }
+}
+
 #[test]
 fn open_calls_are_limited_by_what_the_store_admits_within_the_timeout() {
     let mut requests = UserRequests::default();
--- a/crates/core/src/capacity/bin_packing.rs
+++ b/crates/core/src/capacity/bin_packing.rs
@@ -4,7 +4,6 @@
 use crate::jobs::job::Job;
 use crate::jobs::node_affinity::satisfies_node_affinity;
 use crate::leader::Leader;
-use crate::scheduling::actions::should_avoid_gpus;
 use crate::scheduling::snapshot::CandidateMachine;
 use crate::units::Resources;
 use rudderreel_wire::ids::Zone;
@@ -15,6 +14,15 @@
 /// take longer to boot than usual, and some never come up.
 const NON_PREEMPTIBLE_DIVISOR: i64 = 2;
 
+/// Whether a job stays off new machines because of their GPUs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GpuPreference {
+    /// The job could run without GPUs, and stays off machines with free GPUs.
+    Avoid,
+    /// The job may use any machine.
+    Any,
+}
+
 /// Number of a job's tasks that are, or are planned, in each zone.
 #[derive(Default)]
 pub(super) struct TasksByZone(BTreeMap<Zone, u32>);
@@ -93,6 +101,11 @@
         satisfies_node_affinity(&job.spec, &offer.machine_type, &offer.zone, offer.spot)
     }
 
+    /// Returns whether tasks of a job may be planned on these machines.
+    fn is_usable(&self, job: &Job, gpus: GpuPreference) -> bool {
+        self.is_allowed(job) && !(gpus == GpuPreference::Avoid && self.would_waste_gpus(job))
+    }
+
     /// Returns whether a job that could run without GPUs would block GPUs of these machines: free GPUs, or any GPUs if
     /// the job is a service.
     fn would_waste_gpus(&self, job: &Job) -> bool {
@@ -135,9 +148,9 @@
     }
 
     /// Returns how many tasks of a job fit into the bins of a zone.
-    pub(super) fn room_in(&self, job: &Job, zone: &Zone) -> u32 {
+    pub(super) fn room_in(&self, job: &Job, gpus: GpuPreference, zone: &Zone) -> u32 {
         (self.0.iter())
-            .filter(|bin| bin.offer.zone == *zone && bin.is_allowed(job))
+            .filter(|bin| bin.offer.zone == *zone && bin.is_usable(job, gpus))
             .map(|bin| bin.tasks_per_machine(job).saturating_mul(bin.machines))
             .fold(0, u32::saturating_add)
     }
@@ -146,13 +159,12 @@
     /// Returns the number of tasks packed.
     pub(super) fn pack(
         &mut self,
-        leader: &Leader,
         job: &Job,
+        gpus: GpuPreference,
         max_tasks: u32,
         zones: &mut TasksByZone,
         only_zone: Option<&Zone>,
     ) -> u32 {
-        let avoids_gpus = should_avoid_gpus(leader, job);
         let mut left = max_tasks;
         let mut partly_filled = Vec::new();
         for bin in &mut self.0 {
@@ -162,10 +174,8 @@
             let room = left
                 .min(zone_room)
                 .min(tasks_per_machine.saturating_mul(bin.machines));
-            let is_usable = room > 0
-                && only_zone.is_none_or(|only| only == zone)
-                && bin.is_allowed(job)
-                && !(avoids_gpus && bin.would_waste_gpus(job));
+            let is_usable =
+                room > 0 && only_zone.is_none_or(|only| only == zone) && bin.is_usable(job, gpus);
             if !is_usable {
                 continue;
             }
--- a/crates/core/src/capacity/demand.rs
+++ b/crates/core/src/capacity/demand.rs
@@ -152,7 +152,8 @@
         for job in jobs {
             let mut zones = TasksByZone::default();
             let mut left = self.charge_within_limits(job, job.spec.tasks);
-            left -= free.pack(leader, job, left, &mut zones, None);
+            let gpus = leader.gpu_preference(job, self.now.time);
+            left -= free.pack(job, gpus, left, &mut zones, None);
             self.cover_with_upcoming_or_new(job, left, &mut zones);
         }
     }
@@ -167,7 +168,8 @@
 
     /// Packs tasks into upcoming machines, and then into new machines of the cheapest offers.
     fn cover_with_upcoming_or_new(&mut self, job: &Job, tasks: u32, zones: &mut TasksByZone) {
-        let mut left = tasks - (self.upcoming).pack(self.leader, job, tasks, zones, None);
+        let gpus = self.leader.gpu_preference(job, self.now.time);
+        let mut left = tasks - (self.upcoming).pack(job, gpus, tasks, zones, None);
         while left > 0 {
             let offer = (self.leader).cheapest_offer(job, &self.upcoming, zones, self.now.time);
             let Some(offer) = offer else {
@@ -188,7 +190,8 @@
         };
         let mut left = tasks - self.claim_free_machines(gang, &best.zone);
         let mut zones = TasksByZone::default();
-        left -= (self.upcoming).pack(self.leader, gang, left, &mut zones, Some(&best.zone));
+        let gpus = self.leader.gpu_preference(gang, self.now.time);
+        left -= (self.upcoming).pack(gang, gpus, left, &mut zones, Some(&best.zone));
         if left > 0 && best.lacking_tasks > 0 {
             let offer = (self.leader).cheapest_offer_in(gang, &best.zone, self.now.time);
             if let Some(priced) = offer {
@@ -199,9 +202,11 @@
 
     /// Returns the zone where the machines that a gang lacks cost least.
     fn cheapest_zone(&self, gang: &Job) -> Option<GangZone> {
+        let gpus = self.leader.gpu_preference(gang, self.now.time);
         let mut best: Option<GangZone> = None;
         for zone in self.leader.zones() {
-            let room = self.unclaimed_room_in(gang, &zone) + self.upcoming.room_in(gang, &zone);
+            let upcoming = self.upcoming.room_in(gang, gpus, &zone);
+            let room = self.unclaimed_room_in(gang, &zone) + upcoming;
             let lacking_tasks = gang.spec.tasks.saturating_sub(room);
             let offer = self.leader.cheapest_offer_in(gang, &zone, self.now.time);
             let price = match offer {
@@ -243,7 +248,8 @@
         wanted.count += machines;
         self.upcoming
             .push(Bin::upcoming(self.leader, offer, machines));
-        (self.upcoming.pack(self.leader, job, in_zone, zones, None)).max(1)
+        let gpus = self.leader.gpu_preference(job, self.now.time);
+        (self.upcoming.pack(job, gpus, in_zone, zones, None)).max(1)
     }
 
     /// Charges as many tasks of a job to its team as the team's limits allow, at most `max_tasks`. Returns their
--- a/crates/core/src/capacity/offers.rs
+++ b/crates/core/src/capacity/offers.rs
@@ -1,6 +1,6 @@
 //! Offers of the cloud, their prices, and the cheapest offer for a job.
 
-use super::bin_packing::{Bins, TasksByZone};
+use super::bin_packing::{Bins, GpuPreference, TasksByZone};
 use crate::cloud::scale_out_requests::InstanceOffer;
 use crate::jobs::job::Job;
 use crate::jobs::node_affinity::{satisfies_node_affinity, usable_machine_types};
@@ -64,14 +64,24 @@
             .map(|(_, offer)| offer)
     }
 
+    /// Returns whether a job stays off new machines with GPUs. It does if it could run without them, until it has found
+    /// no other room for long.
+    pub(super) fn gpu_preference(&self, job: &Job, now: Time) -> GpuPreference {
+        if should_avoid_gpus(self, job) && !job.takes_any_new_machine(now) {
+            GpuPreference::Avoid
+        } else {
+            GpuPreference::Any
+        }
+    }
+
     /// Returns the offers that a job may use and that may be requested, with their prices.
     fn priced_offers(&self, job: &Job, now: Time) -> Vec<PricedOffer> {
-        let avoids_gpus = should_avoid_gpus(self, job);
+        let gpus = self.gpu_preference(job, now);
         let mut found = Vec::new();
         for machine_type in &self.policy.catalog.types {
             let capacity = Resources::of_machine(machine_type);
             let tasks = capacity.fit_count(&job.need);
-            if tasks == 0 || (avoids_gpus && capacity.gpus > 0) {
+            if tasks == 0 || (gpus == GpuPreference::Avoid && capacity.gpus > 0) {
                 continue;
             }
             for offer in offers_of(machine_type) {
--- a/crates/core/src/capacity/scale_in.rs
+++ b/crates/core/src/capacity/scale_in.rs
@@ -183,11 +183,13 @@
     }
 
     /// Returns the machines with GPUs on which only preemptible work runs that could run without GPUs. It was placed
-    /// there next to GPU work that has since ended, and does not justify the cost of the machine.
+    /// there next to GPU work that has since ended, and does not justify the cost of the machine. Work that found no
+    /// other room is left where it is.
     fn underused_gpu_machines(&self) -> BTreeSet<MachineId> {
         let is_preemptible_without_gpus = |id: &JobId| {
-            (self.jobs.get(id))
-                .is_some_and(|job| job.is_preemptible() && should_avoid_gpus(self, job))
+            (self.jobs.get(id)).is_some_and(|job| {
+                job.is_preemptible() && !job.uses_any_room && should_avoid_gpus(self, job)
+            })
         };
         (self.fleet.machines.values())
             .filter(|machine| machine.capacity.gpus > 0 && !machine.tasks.is_empty())
--- a/crates/core/src/jobs/job.rs
+++ b/crates/core/src/jobs/job.rs
@@ -33,6 +33,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// Time without room after which a job may use any room that it fits in. Users count a job as left waiting after 90 s.
+const ANY_ROOM_AFTER: Span = Span(60_000);
+/// Time without room after which any machine may be rented for a job. Users count a job that does not begin within four
+/// minutes as not served, and a machine takes a while to boot.
+const ANY_MACHINE_AFTER: Span = Span(120_000);
+
 /// The stage of a job's life cycle (see the module documentation).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobStage {
@@ -81,6 +87,11 @@
     pub retry_at: Time,
     /// Evidence from the job's failures.
     pub failures: Failures,
+    /// Time since which the job has found no room, although its team's limits allow another task; none if it has found
+    /// some since.
+    without_room_since: Option<Time>,
+    /// Whether tasks of the job were placed on machines that it would have left to other work.
+    pub uses_any_room: bool,
     /// Tasks that are neither done nor in `placements`.
     unplaced: TaskSet,
     /// Number of entries in `placements`: a machine counts once for each task and attempt that may be on it.
@@ -117,6 +128,8 @@
             placements: BTreeMap::new(),
             retry_at: Time(0),
             failures: Failures::default(),
+            without_room_since: None,
+            uses_any_room: false,
             placement_count: 0,
             recorded_done: TaskSet::default(),
             segment: SegmentId::NONE,
@@ -229,6 +242,35 @@
         }
     }
 
+    /// Records whether a scheduling cycle has found no room for the job although its team's limits allow another task.
+    pub fn record_room_search(&mut self, found_none: bool, now: Time) {
+        self.without_room_since = match self.without_room_since {
+            Some(since) if found_none => Some(since),
+            _ => found_none.then_some(now),
+        };
+    }
+
+    /// Returns whether the last scheduling cycle has found no room for the job although its team's limits allow another
+    /// task.
+    pub fn is_without_room(&self) -> bool {
+        self.without_room_since.is_some()
+    }
+
+    /// Returns whether the job has found no room for so long that it may use any that it fits in, also room that it
+    /// would leave to other work.
+    pub fn takes_any_room(&self, now: Time) -> bool {
+        self.is_without_room_for(ANY_ROOM_AFTER, now)
+    }
+
+    /// Returns whether the job has found no room for so long that any machine may be rented for it.
+    pub fn takes_any_new_machine(&self, now: Time) -> bool {
+        self.is_without_room_for(ANY_MACHINE_AFTER, now)
+    }
+
+    fn is_without_room_for(&self, span: Span, now: Time) -> bool {
+        (self.without_room_since).is_some_and(|since| now - since >= span)
+    }
+
     /// Returns how many placements may exist: a machine counts once for each task and attempt that may be on it.
     pub fn placement_count(&self) -> u32 {
         self.placement_count
--- a/crates/core/src/scheduling/actions/predicates.rs
+++ b/crates/core/src/scheduling/actions/predicates.rs
@@ -4,6 +4,7 @@
 use crate::jobs::node_affinity::satisfies_node_affinity;
 use crate::leader::Leader;
 use crate::scheduling::snapshot::{has_zone_rules, CandidateMachine, Snapshot};
+use crate::units::Time;
 use rudderreel_wire::job::{JobSpec, Kind};
 use std::collections::BTreeMap;
 
@@ -31,7 +32,8 @@
 
 /// Returns whether one more task of the job fits on a machine: the machine has room and is eligible.
 pub fn fits(leader: &Leader, snapshot: &Snapshot, job: &Job, candidate: &CandidateMachine) -> bool {
-    candidate.free_for(job).holds(&job.need) && is_eligible(leader, snapshot, job, candidate)
+    candidate.free_for(job, snapshot.now.time).holds(&job.need)
+        && is_eligible(leader, snapshot, job, candidate)
 }
 
 /// Returns whether one more task of the job may be placed on a machine if there is room.
@@ -64,7 +66,7 @@
         Err(Exclusion::ReservedForGang)
     } else if (job.failures).avoids_machine(&candidate.id, snapshot.now.time) {
         Err(Exclusion::Failures)
-    } else if wastes_gpus(leader, job, candidate) {
+    } else if wastes_gpus(leader, job, candidate, snapshot.now.time) {
         Err(Exclusion::Gpus)
     } else if !satisfies_zone_rules(snapshot, &job.spec, candidate.zone_index) {
         Err(Exclusion::ZoneRules)
@@ -104,10 +106,12 @@
 
 /// Anti-affinity to GPUs: returns whether a job must stay off a machine because of its GPUs. Work without GPUs stays
 /// off machines with free GPUs if it could ever run elsewhere. Replicas stay off all machines with GPUs, because they
-/// would occupy them long after the work on the GPUs is done.
-fn wastes_gpus(leader: &Leader, job: &Job, candidate: &CandidateMachine) -> bool {
+/// would occupy them long after the work on the GPUs is done. Neither waits for ever for another machine.
+fn wastes_gpus(leader: &Leader, job: &Job, candidate: &CandidateMachine, now: Time) -> bool {
     let outlasts_gpu_work = job.spec.kind == Kind::Service && candidate.capacity.gpus > 0;
-    (candidate.free.gpus > 0 || outlasts_gpu_work) && should_avoid_gpus(leader, job)
+    (candidate.free.gpus > 0 || outlasts_gpu_work)
+        && !job.takes_any_room(now)
+        && should_avoid_gpus(leader, job)
 }
 
 /// Returns whether a job needs no GPUs and could run on some machine type without them.
--- a/crates/core/src/scheduling/actions/scoring.rs
+++ b/crates/core/src/scheduling/actions/scoring.rs
@@ -120,7 +120,9 @@
         .filter(|(_, candidate)| zone.is_none_or(|zone| zone == candidate.zone_index))
         .filter(|(_, candidate)| fits(leader, snapshot, job, candidate))
         .map(|(candidate_index, candidate)| {
-            let tasks = candidate.free_for(job).fit_count(&job.need);
+            let tasks = candidate
+                .free_for(job, snapshot.now.time)
+                .fit_count(&job.need);
             let score = Score::of(job, image, replica_cap, candidate);
             (
                 score,
--- a/crates/core/src/scheduling/actions/task_class.rs
+++ b/crates/core/src/scheduling/actions/task_class.rs
@@ -16,6 +16,7 @@
     kind: Kind,
     gang_size: Option<u32>,
     one_zone: bool,
+    takes_any_room: bool,
     /// The job, if the results for other jobs do not apply to its tasks.
     job: Option<JobId>,
 }
@@ -34,6 +35,7 @@
             kind: spec.kind,
             gang_size: (spec.kind == Kind::Gang).then_some(spec.tasks),
             one_zone: spec.one_zone,
+            takes_any_room: job.takes_any_room(now),
             job: needs_own_class.then(|| spec.id.clone()),
         }
     }
--- a/crates/core/src/scheduling/cycle.rs
+++ b/crates/core/src/scheduling/cycle.rs
@@ -18,7 +18,7 @@
 use crate::jobs::job::Job;
 use crate::leader::Leader;
 use crate::units::{Now, Span};
-use rudderreel_wire::ids::MachineId;
+use rudderreel_wire::ids::{JobId, MachineId};
 use rudderreel_wire::job::Kind;
 
 /// Number of cycle periods for which a machine that is being emptied receives no new placements.
@@ -30,6 +30,15 @@
     allocated: Vec<Placement>,
     /// Evictions, and the placements on the room that they free.
     scenario: Scenario,
+    /// Results of the search for room, of the jobs whose result differs from that of the cycle before.
+    room_searches: Vec<RoomSearch>,
+}
+
+/// The result of a job's search for room.
+struct RoomSearch {
+    job: JobId,
+    /// Whether no room was found although the limits of the job's team allow another task.
+    found_none: bool,
 }
 
 impl Leader {
@@ -76,9 +85,23 @@
         Decisions {
             allocated,
             scenario,
+            room_searches: self.room_searches(snapshot, &waiting),
         }
     }
 
+    /// Returns the results of the search for room that differ from those of the cycle before.
+    fn room_searches(&self, snapshot: &Snapshot, waiting: &[&Job]) -> Vec<RoomSearch> {
+        let search_of = |job: &&Job| {
+            let found_none =
+                snapshot.placed_count(&job.spec.id) == 0 && snapshot.allows_one_more(self, job);
+            (found_none != job.is_without_room()).then(|| RoomSearch {
+                job: job.spec.id.clone(),
+                found_none,
+            })
+        };
+        waiting.iter().filter_map(search_of).collect()
+    }
+
     /// Moves replicas to empty a machine, unless this cycle already stops work or the next consolidation is not due
     /// yet. The machine is cordoned meanwhile.
     fn consolidate_if_due(&mut self, snapshot: &mut Snapshot, scenario: &mut Scenario, now: Now) {
@@ -94,6 +117,12 @@
 
     /// Applies the decisions to the leader's state.
     fn apply(&mut self, decisions: Decisions, now: Now) {
+        for search in decisions.room_searches {
+            if let Some(job) = self.jobs.get_mut(&search.job) {
+                job.uses_any_room |= !search.found_none && job.takes_any_room(now.time);
+                job.record_room_search(search.found_none, now.time);
+            }
+        }
         let mut placements = decisions.allocated;
         placements.extend(decisions.scenario.placements);
         self.apply_placements(placements, now.time);
--- a/crates/core/src/scheduling/snapshot/candidate_machine.rs
+++ b/crates/core/src/scheduling/snapshot/candidate_machine.rs
@@ -115,9 +115,10 @@
         }
     }
 
-    /// Returns the resources that are free for a job. Reserved ones are only for non-preemptible work.
-    pub fn free_for(&self, job: &Job) -> Resources {
-        if job.is_preemptible() {
+    /// Returns the resources that are free for a job. Reserved ones are only for non-preemptible work, and for jobs that
+    /// take any room: their tasks can be preempted for the work that the room is reserved for.
+    pub fn free_for(&self, job: &Job, now: Time) -> Resources {
+        if job.is_preemptible() && !job.takes_any_room(now) {
             self.unreserved()
         } else {
             self.free
--- a/crates/core/tests/sim/machines_with_gpus.rs
+++ b/crates/core/tests/sim/machines_with_gpus.rs
@@ -11,6 +11,10 @@
 const START_WITHIN_MS: u64 = 20_000;
 /// Time for which users may be left waiting beside room, and a margin.
 const MAX_WAIT_MS: u64 = 100_000;
+/// Time within which users expect work to begin.
+const MAX_START_DELAY_MS: u64 = 240_000;
+/// Run time of GPU work that ends soon after [`MAX_WAIT_MS`].
+const GPU_WORK_MS: u64 = MAX_WAIT_MS + 12_000;
 /// Run time of work that lasts longer than the test.
 const ENDLESS_MS: u64 = 1_000_000;
 
@@ -112,17 +116,63 @@
     }
 }
 
+/// Work that could run without GPUs waited for ever if no machine without GPUs could be rented, although a machine with
+/// GPUs had room. Once it runs there, it must not be stopped only because the work on the GPUs has ended.
+#[test]
+fn array_runs_beside_free_gpus_if_no_other_machine_can_be_rented() {
+    for seed in 1_610..1_614 {
+        println!("seed {seed}");
+        let mut world = world_with_gpus(seed, 0);
+        let gpu_work = job(1, serde_json::json!({"gpus": 1.0, "driftwood": false}));
+        let gpu_work = submit(&mut world, gpu_work, GPU_WORK_MS);
+        run_until_on_machines(&mut world, &gpu_work, 1);
+        let array = job(2, serde_json::json!({"takes": 2}));
+        let array = submit(&mut world, array, ENDLESS_MS);
+        world.end_faults();
+        world.run_until(world.now + MAX_WAIT_MS);
+        assert_eq!(world.on_machines(&array), 2, "the array runs");
+        run_until_on_machines(&mut world, &gpu_work, 0);
+        let starts = world.starts;
+        world.run_until(world.now + MAX_WAIT_MS);
+        assert_eq!(world.on_machines(&array), 2, "the array still runs");
+        assert_eq!(world.starts, starts, "tasks were started again");
+    }
+}
+
+/// The cloud offers machines without GPUs, but has none left, and no machine is up.
+#[test]
+fn work_without_gpus_begins_within_four_minutes_if_only_machines_with_gpus_can_be_rented() {
+    for seed in 1_630..1_633 {
+        println!("seed {seed}");
+        let mut world = world_with_gpus(seed, 0);
+        let array = submit(&mut world, job(1, serde_json::json!({"takes": 3})), 4_000);
+        let gang = serde_json::json!({"rig": "gang", "takes": 6, "together": true});
+        let gang = submit(&mut world, job(2, gang), 4_000);
+        world.end_faults();
+        world.run_until(world.now + MAX_START_DELAY_MS);
+        for id in [array, gang] {
+            assert!(world.jobs[&id].begun_at.is_some(), "{id} has not begun");
+        }
+    }
+}
+
 /// Half of the jobs are bound to a zone, and a third need GPUs.
 #[test]
 fn no_array_is_left_waiting_beside_machines_with_gpus() {
-    for (seed, nodes) in [(1_620, 3), (1_621, 5), (1_622, 3), (1_623, 5)] {
+    for (seed, nodes, machines_without_gpus) in [
+        (1_620, 3, 3),
+        (1_621, 5, 3),
+        (1_622, 3, 3),
+        (1_623, 5, 3),
+        (1_624, 3, 1),
+    ] {
         let scenario = Scenario {
             nodes,
             scripted: false,
             zone_bound_jobs: true,
             no_replicas: true,
             jobs: 30,
-            ..scenario(3)
+            ..scenario(machines_without_gpus)
         };
         run_with_random_faults(seed, scenario);
     }
