--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -7,6 +7,7 @@
 mod cloud;
 mod costs;
 mod decision_digest;
+mod direct_calls;
 mod faults;
 mod network;
 mod nodes;
@@ -29,6 +30,7 @@
 
 pub use agent::SimulatedAgent;
 use cloud::Cloud;
+use direct_calls::{QueuedCall, RevokedStarts};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rudderreel_core::units::{Now, Time, Wall};
@@ -133,24 +135,6 @@
     revoked_starts: RevokedStarts,
 }
 
-/// The start commands that a process must not send any more.
-#[derive(Default)]
-struct RevokedStarts {
-    jobs: BTreeSet<JobId>,
-    /// Number of times that all start commands were revoked.
-    all: u32,
-}
-
-/// A direct call that a process is about to send.
-struct QueuedCall {
-    body: DirectCommands,
-    send_until: Option<Time>,
-    /// Number of times that all start commands had been revoked when the call was queued.
-    revocations: u32,
-    /// Whether the call has waited in the process.
-    has_waited: bool,
-}
-
 /// A job with what its user has been answered and what the rule checks record about it.
 pub struct ObservedJob {
     pub spec: JobSpec,
--- a/crates/core/tests/sim/world/nodes.rs
+++ b/crates/core/tests/sim/world/nodes.rs
@@ -176,16 +176,6 @@
         }
     }
 
-    fn revoke_starts(&mut self, node: usize, revocation: StartRevocation) {
-        let revoked = &mut self.nodes[node].revoked_starts;
-        match revocation {
-            StartRevocation::OfJob(id) => {
-                revoked.jobs.insert(id);
-            }
-            StartRevocation::All => revoked.all += 1,
-        }
-    }
-
     pub(super) fn node_of(&self, name: &NodeName) -> usize {
         (0..self.scenario.nodes)
             .find(|i| self.settings[*i].node == *name)
--- a/crates/core/tests/sim/world/pauses.rs
+++ b/crates/core/tests/sim/world/pauses.rs
@@ -120,54 +120,6 @@
         self.alive(node, generation) && self.is_paused(node) && self.rng.random_bool(0.5)
     }
 
-    /// Sends a direct call of a process, which checks the time once more before sending. If the process is paused, the
-    /// call was sent before the pause or is sent when the process resumes.
-    pub(super) fn send_direct(
-        &mut self,
-        node: usize,
-        generation: u32,
-        machine: MachineId,
-        mut call: QueuedCall,
-    ) {
-        let wait = if self.is_held_back(node, generation) {
-            self.remaining_pause(node)
-        } else {
-            (self.nodes[node].direct_calls_wait_until).saturating_sub(self.now)
-        };
-        if wait > 0 {
-            call.has_waited = true;
-            return self.schedule(wait, Event::DirectQueued(node, generation, machine, call));
-        }
-        let now = self.clock(node).time;
-        let is_late = call.send_until.is_some_and(|until| now >= until);
-        let must_not_be_sent = is_late || self.is_revoked(node, &call);
-        if must_not_be_sent && self.alive(node, generation) {
-            let not_called = Input::Direct {
-                machine,
-                commands: call.body,
-                outcome: DirectOutcome::NotCalled,
-            };
-            return self.step(node, not_called);
-        }
-        if call.has_waited && self.alive(node, generation) {
-            // Only now do the commands leave the process.
-            self.record_starts_after_cancellation(&call.body.commands);
-        }
-        self.direct(node, generation, machine, call.body, false);
-    }
-
-    /// Returns whether a direct call contains start commands that were revoked after the call was queued.
-    fn is_revoked(&self, node: usize, call: &QueuedCall) -> bool {
-        let revoked = &self.nodes[node].revoked_starts;
-        let is_revoked = |command: &Command| match command {
-            Command::Start { task, .. } => {
-                call.revocations < revoked.all || revoked.jobs.contains(&task.job)
-            }
-            Command::Stop { .. } | Command::Forget { .. } => false,
-        };
-        call.body.commands.iter().any(is_revoked)
-    }
-
     /// Returns the send time that is recorded for a call that was held back: the clock was read before the pause or is
     /// read after it.
     pub(super) fn sending_time(&mut self, node: usize, before: Time) -> Time {
