Seeds of the world with two kinds of machines by hand

many_seeds takes PLAN=gpus: random faults with machines with and without GPUs and jobs that are bound to a zone.

--- a/crates/core/tests/sim/machines_with_gpus.rs
+++ b/crates/core/tests/sim/machines_with_gpus.rs
@@ -156,24 +156,25 @@
     }
 }
 
-/// Half of the jobs are bound to a zone, and a third need GPUs.
+/// Runs a scenario with random faults in which half of the jobs are bound to a zone, and a third need GPUs. The seed
+/// determines how many machines without GPUs there are.
+pub fn run_with_faults(seed: u64, nodes: usize) {
+    let machines_without_gpus = 1 + seed as usize % 3;
+    let scenario = Scenario {
+        nodes,
+        scripted: false,
+        zone_bound_jobs: true,
+        no_replicas: true,
+        jobs: 30,
+        ..scenario(machines_without_gpus)
+    };
+    run_with_random_faults(seed, scenario);
+}
+
+/// Runs a few seeds; `many_seeds` runs more by hand.
 #[test]
 fn no_array_is_left_waiting_beside_machines_with_gpus() {
-    for (seed, nodes, machines_without_gpus) in [
-        (1_620, 3, 3),
-        (1_621, 5, 3),
-        (1_622, 3, 3),
-        (1_623, 5, 3),
-        (1_624, 3, 1),
-    ] {
-        let scenario = Scenario {
-            nodes,
-            scripted: false,
-            zone_bound_jobs: true,
-            no_replicas: true,
-            jobs: 30,
-            ..scenario(machines_without_gpus)
-        };
-        run_with_random_faults(seed, scenario);
+    for (seed, nodes) in [(1_620, 3), (1_621, 5), (1_622, 3), (1_623, 5), (1_624, 3)] {
+        run_with_faults(seed, nodes);
     }
 }
--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -159,6 +159,7 @@
         "pipelines" => drop(pipelines::run_with_faults(seed, pipelines::scenario(nodes))),
         "versions" => rolling_upgrades::run_with_faults(seed, nodes),
         "pauses" => paused_nodes::run_with_faults(seed, nodes),
+        "gpus" => machines_with_gpus::run_with_faults(seed, nodes),
         _ => run_with_default_faults(seed, nodes, var("SPREAD") == "1"),
     };
     let failed: Vec<u64> = (from..to)
