--- a/crates/core/tests/sim/cancellations_in_outages.rs
+++ b/crates/core/tests/sim/cancellations_in_outages.rs
@@ -67,6 +67,14 @@
     ForwardedCancellation,
 }
 
+/// All requests whose answers tell a user that a job is cancelled.
+pub const ANSWER_PATHS: [AnswerPath; 4] = [
+    AnswerPath::Cancellation,
+    AnswerPath::StatusRequest,
+    AnswerPath::RepeatedSubmission,
+    AnswerPath::ForwardedCancellation,
+];
+
 /// A fault in addition to those of every case.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum ExtraFault {
@@ -220,13 +228,7 @@
 /// outage, without knowing of the cancellation, so that the cancelled tasks ran on.
 #[test]
 fn tasks_of_a_cancelled_job_stop_when_the_store_refuses_the_leader() {
-    let paths = [
-        AnswerPath::Cancellation,
-        AnswerPath::StatusRequest,
-        AnswerPath::RepeatedSubmission,
-        AnswerPath::ForwardedCancellation,
-    ];
-    for (n, path) in paths.into_iter().enumerate() {
+    for (n, path) in ANSWER_PATHS.into_iter().enumerate() {
         for (nodes, spread) in [(3, false), (5, false), (5, true)] {
             let seed = 700 + n as u64;
             println!("seed {seed}, {nodes} nodes, {spread}, {path:?}");
--- a/crates/core/tests/sim/paused_nodes.rs
+++ b/crates/core/tests/sim/paused_nodes.rs
@@ -1,16 +1,14 @@
 //! Processes that are paused while their clocks run on, without and with other faults.
 
-use super::cancellations_in_outages::{replicas, run_until_jobs_are_running};
+use super::cancellations_in_outages::run_until_jobs_are_running;
 use super::run_with_random_faults;
+use super::starts_after_cancellation::submit_and_wait_for_start;
 use super::world::Fault::{self, *};
 use super::world::{Scenario, UserAction, World};
 use rudderreel_wire::ids::JobId;
-use rudderreel_wire::job::{Kind, Priority};
 
 /// Time by which the pause of the leader exceeds the time for which cancelled tasks may remain.
 const PAUSE_BEYOND_CANCEL_MS: u64 = 4_000;
-/// Time within which a submitted job is started.
-const START_WITHIN_MS: u64 = 10_000;
 /// Time between the end of the store's outage and the end of the leader's pause.
 const OUTAGE_ENDS_BEFORE_RESUME_MS: u64 = 50;
 
@@ -92,17 +90,7 @@
 fn pause_while_starting(seed: u64) {
     let nodes = 5;
     let (mut world, _, leader) = run_until_jobs_are_running(seed, nodes, false);
-    let mut spec = replicas(9, 2);
-    (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
-    let id = spec.id.clone();
-    world.add_job(spec);
-    let started_before = world.start_commands;
-    world.user_asks(leader, &id, UserAction::Submit);
-    let latest = world.now + START_WITHIN_MS;
-    while world.start_commands == started_before {
-        assert!(world.now < latest, "no start command was sent for {id}");
-        world.run_until(world.now + 1);
-    }
+    let id = submit_and_wait_for_start(&mut world, 2, leader);
     let pause_ends = world.now + world.cancel_ms() + PAUSE_BEYOND_CANCEL_MS;
     world.pause(leader, pause_ends);
     let cancelling_node = (leader + 1) % nodes;
--- a/crates/core/tests/sim/starts_after_cancellation.rs
+++ b/crates/core/tests/sim/starts_after_cancellation.rs
@@ -3,7 +3,7 @@
 //! Another node confirms the cancellation. The leader does not learn of it, but may still start tasks by its lease.
 
 use super::cancellations_in_outages::{
-    replicas, request_until_confirmed, run_until_jobs_are_running, AnswerPath,
+    replicas, request_until_confirmed, run_until_jobs_are_running, AnswerPath, ANSWER_PATHS,
 };
 use super::world::{UserAction, World};
 use rudderreel_wire::ids::JobId;
@@ -28,9 +28,9 @@
     Lost,
 }
 
-/// Submits an array of one task at a node, and returns its id once its start command was decided on.
-fn submit_and_wait_for_start(world: &mut World, n: u32, node: usize) -> JobId {
-    let mut spec = replicas(n, 1);
+/// Submits an array at a node, and returns its id once a start command was decided on.
+pub fn submit_and_wait_for_start(world: &mut World, tasks: u32, node: usize) -> JobId {
+    let mut spec = replicas(9, tasks);
     (spec.kind, spec.priority) = (Kind::Array, Priority::Normal);
     let id = spec.id.clone();
     world.add_job(spec);
@@ -46,11 +46,11 @@
 
 /// Submits an array of one task and returns its id once its start command was sent. The command does not reach the
 /// agent, so the leader repeats it with each answer to the agent's reports.
-fn submit_job_whose_start_is_repeated(world: &mut World, n: u32, node: usize, until: u64) -> JobId {
+fn submit_job_whose_start_is_repeated(world: &mut World, node: usize, until: u64) -> JobId {
     for agent in world.agents.values_mut() {
         agent.unreachable_until = until;
     }
-    submit_and_wait_for_start(world, n, node)
+    submit_and_wait_for_start(world, 1, node)
 }
 
 /// Cuts the leader off from the store and the other nodes while it repeats a start, and cancels the job at another
@@ -67,7 +67,7 @@
         world.cut_from_peers(leader, end);
         world.run_until(world.now + LEADER_UNHEARD_AFTER_MS);
     }
-    let id = submit_job_whose_start_is_repeated(&mut world, 9, leader, end);
+    let id = submit_job_whose_start_is_repeated(&mut world, leader, end);
     let is_cancelled_elsewhere = matches!(
         path,
         AnswerPath::StatusRequest | AnswerPath::RepeatedSubmission
@@ -89,13 +89,7 @@
 /// majority sufficed, although the leader may start tasks for 3 s after it last read the changes.
 #[test]
 fn cut_off_leader_starts_no_task_after_the_cancellation_was_confirmed() {
-    let paths = [
-        AnswerPath::Cancellation,
-        AnswerPath::StatusRequest,
-        AnswerPath::RepeatedSubmission,
-        AnswerPath::ForwardedCancellation,
-    ];
-    for (n, path) in paths.into_iter().enumerate() {
+    for (n, path) in ANSWER_PATHS.into_iter().enumerate() {
         for nodes in [3, 5] {
             for contact in [LeaderContact::Recent, LeaderContact::Lost] {
                 let seed = 1_500 + n as u64;
@@ -120,7 +114,7 @@
             let nodes = 3;
             let (mut world, _, leader) = run_until_jobs_are_running(seed, nodes, false);
             world.delay_direct_calls(leader, world.now + START_WITHIN_MS);
-            let id = submit_and_wait_for_start(&mut world, 9, leader);
+            let id = submit_and_wait_for_start(&mut world, 1, leader);
             world.delay_direct_calls(leader, world.now + CALL_WAIT_MS);
             if steps_down {
                 world.end_leases();
