Count over several requests for how long a node has known a cancellation

What callers could see, since the leader's knowledge is awaited: a node that the store refuses answers no poll of a job that was cancelled lately while a leader does not acknowledge, for as long as the store refuses it. Each poll counted its own waiting time, a poll waits for 1.7 s at most, and the node's cache, which else shows that 3 s have passed, stands still.

Test: cancellation_replication::tests::repeated_status_queries_are_answered_on_a_node_that_the_store_refuses failed with the time counted anew for each query.

Why it works: the time counts from the first request for the acknowledgement, since when the node has known the cancellation, and is kept until the cache shows the same.

--- a/crates/core/src/api/cancellation_replication.rs
+++ b/crates/core/src/api/cancellation_replication.rs
@@ -152,11 +152,11 @@
         context: &AcknowledgementContext<'_>,
     ) -> Option<Acknowledgement> {
         self.observe_cache(context.jobs, context.now.time);
-        if let Some(basis) = self.basis_for(request.job(), version, Span(0), context) {
+        if let Some(basis) = self.basis_for(request.job(), version, context) {
             log_acknowledgement(request.job(), version, Span(0), basis);
             return Some(Acknowledgement::Respond(request));
         }
-        (self.knowledge).request_replication(request.job(), version);
+        (self.knowledge).request_replication(request.job(), version, context.now.time);
         self.send_due = true;
         if self.waiting.len() >= MAX_WAITING_REQUESTS {
             let refusal = Refusal::TooManyOpenRequests;
@@ -173,13 +173,11 @@
         self.lease_barrier.observe(jobs, now);
     }
 
-    /// Returns the basis on which a user whose request has waited for a time may be told that a job is cancelled; none
-    /// if the user may not be told yet.
+    /// Returns the basis on which a user may be told that a job is cancelled; none if the user may not be told yet.
     fn basis_for(
         &self,
         id: &JobId,
         version: Version,
-        waited: Span,
         context: &AcknowledgementContext<'_>,
     ) -> Option<AcknowledgementBasis> {
         if context.is_surely_without_tasks(id) {
@@ -194,9 +192,9 @@
         if self.is_known_to_sole_leader(id, version, context.now.time) {
             return Some(AcknowledgementBasis::LeaderKnows);
         }
-        // This node knew the cancellation when the request began to wait.
+        let known_for = self.knowledge.known_for(id, context.now.time);
         let barrier_passed =
-            waited >= LeaseBarrier::span() || self.lease_barrier.has_passed(version);
+            known_for >= LeaseBarrier::span() || self.lease_barrier.has_passed(version);
         barrier_passed.then_some(AcknowledgementBasis::OlderCachesExpired)
     }
 
@@ -218,7 +216,7 @@
             };
             let waited = context.now.time - since;
             let version = known.version;
-            if let Some(basis) = self.basis_for(request.job(), version, waited, context) {
+            if let Some(basis) = self.basis_for(request.job(), version, context) {
                 log_acknowledgement(request.job(), version, waited, basis);
                 decided.push(Acknowledgement::Respond(request));
                 continue;
@@ -250,10 +248,14 @@
     }
 
     /// Forgets the replications of cancellations that a majority knows according to the nodes' watermarks, except those
-    /// that a request waits for.
+    /// that a request waits for, and those that nodes may still start tasks without knowing: for these it counts since
+    /// when this node has known them.
     pub fn forget_replicated(&mut self) {
         let waited_for: BTreeSet<&JobId> = self.waiting.iter().map(|w| w.request.job()).collect();
-        (self.knowledge).forget_replicated(|id| waited_for.contains(id));
+        let barrier = &self.lease_barrier;
+        (self.knowledge).forget_replicated(|id, version| {
+            waited_for.contains(id) || !barrier.has_passed(version)
+        });
         self.send_due |= self.knowledge.has_requested();
     }
 
--- a/crates/core/src/api/cancellation_replication/knowledge.rs
+++ b/crates/core/src/api/cancellation_replication/knowledge.rs
@@ -3,6 +3,7 @@
 //! A node's knowledge consists of its watermark, up to which it knows every cancellation, and of the later
 //! cancellations that it has acknowledged one by one. Knowledge only grows: no node forgets a cancellation.
 
+use crate::units::{Span, Time};
 use rudderreel_wire::ids::{JobId, NodeName, Version};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,6 +31,9 @@
     acknowledged_by: BTreeSet<NodeName>,
     /// Whether the cancellation is sent to peers.
     demand: Demand,
+    /// The time of the first request of a user of this node for its acknowledgement: this node has known the cancellation
+    /// since then, or longer.
+    requested_at: Option<Time>,
 }
 
 /// Whether a cancellation is sent to peers.
@@ -99,8 +103,18 @@
     }
 
     /// Requests that a cancellation is sent to the peers that lack it.
-    pub(super) fn request_replication(&mut self, id: &JobId, version: Version) {
-        self.replication_of(id, version).demand = Demand::Requested;
+    pub(super) fn request_replication(&mut self, id: &JobId, version: Version, now: Time) {
+        let replication = self.replication_of(id, version);
+        replication.demand = Demand::Requested;
+        replication.requested_at.get_or_insert(now);
+    }
+
+    /// Returns the time for which this node has known a cancellation, counted from the first request for its
+    /// acknowledgement that is still on record.
+    pub(super) fn known_for(&self, id: &JobId, now: Time) -> Span {
+        let replication = self.replications.get(id);
+        let requested_at = replication.and_then(|replication| replication.requested_at);
+        requested_at.map_or(Span(0), |at| now - at)
     }
 
     /// Records that a peer has sent a cancellation, and therefore knows it.
@@ -123,6 +137,7 @@
             version,
             acknowledged_by: BTreeSet::new(),
             demand: Demand::Observed,
+            requested_at: None,
         })
     }
 
@@ -146,12 +161,13 @@
     }
 
     /// Forgets the replications of cancellations that a majority knows according to the nodes' watermarks, except those
-    /// that a request waits for.
-    pub(super) fn forget_replicated(&mut self, is_waited_for: impl Fn(&JobId) -> bool) {
+    /// that are needed, by job and revision.
+    pub(super) fn forget_replicated(&mut self, is_needed: impl Fn(&JobId, Version) -> bool) {
         let watermarks = &self.reported_watermarks;
         let nodes_past = |version: Version| watermarks.values().filter(|w| **w >= version).count();
         self.replications.retain(|id, replication| {
-            nodes_past(replication.version) + 1 < self.majority || is_waited_for(id)
+            nodes_past(replication.version) + 1 < self.majority
+                || is_needed(id, replication.version)
         });
     }
 
--- a/crates/core/src/api/cancellation_replication/tests.rs
+++ b/crates/core/src/api/cancellation_replication/tests.rs
@@ -193,6 +193,35 @@
     assert!(matches!(&decided[..], [Acknowledgement::Refuse(_, why)] if *why == refusal));
 }
 
+/// The store refuses this node, so its cache does not reach the cancellation, which a peer has sent. The time for which
+/// the node has known the cancellation must count over several queries, or each of them would be refused.
+#[test]
+fn repeated_status_queries_are_answered_on_a_node_that_the_store_refuses() {
+    let mut record = JobRecord::queued(&job(1, "sweep", "red", "normal").spec, NOW.wall);
+    record.state = JobState::Cancelled;
+    let mut jobs = cache_named_leader("n1", Version(1));
+    jobs.update_job(id(), CANCELLED_AT, record);
+    let mut replicator = replicator();
+    replicator.peer_watermark_received(&"n2".into(), CANCELLED_AT);
+    let query = |at: Span| {
+        let request = UserRequest::Status(id());
+        PendingRequest::new(ReqId(1), request, RequestOrigin::Direct, NOW.time + at)
+    };
+    let first =
+        replicator.acknowledge_or_wait(query(Span(0)), CANCELLED_AT, &context(&jobs, Span(0)));
+    assert!(first.is_none());
+    let decided = replicator.decide_waiting(&context(&jobs, Span(1_700)));
+    assert!(matches!(decided[..], [Acknowledgement::Refuse(..)]));
+    replicator.forget_replicated();
+    let early = Span(LeaseBarrier::span().0 - 1);
+    let second = replicator.acknowledge_or_wait(query(early), CANCELLED_AT, &context(&jobs, early));
+    assert!(second.is_none());
+    replicator.forget_replicated();
+    let late = LeaseBarrier::span();
+    let third = replicator.acknowledge_or_wait(query(late), CANCELLED_AT, &context(&jobs, late));
+    assert!(matches!(third, Some(Acknowledgement::Respond(_))));
+}
+
 #[test]
 fn a_leader_acknowledges_alone_only_if_no_task_is_left() {
     let jobs = cache();
