Log under which token a command went out, why a forget was allowed, and tasks that return

On call, our log could not tell a start that was carried out twice from one that was sent twice, nor why an agent was told to forget an attempt. At debug each start, stop and forget now names token, incarnation and delivery, a forget the end and the start that it rests on, and the end of each direct call its outcome and the sequence number of the answer. An attempt that a newer report shows on its machine although its exit is known is a warning ("exited task reappeared") and a counter (`reappeared`). Commands and decisions are unchanged.

--- a/crates/core/src/agents/reconciliation.rs
+++ b/crates/core/src/agents/reconciliation.rs
@@ -124,6 +124,7 @@
                 self.task_lost(machine, &task, attempt, now);
             }
             TaskChange::Unknown(status) => self.adopt_unknown_task(machine, status, now),
+            TaskChange::Reappeared(status) => self.task_reappeared(machine, &status),
         }
     }
 
--- a/crates/core/src/agents/task_outcomes.rs
+++ b/crates/core/src/agents/task_outcomes.rs
@@ -20,6 +20,8 @@
 const DONE_COUNTER: &str = "done";
 /// Counter of tasks that exited for any other cause without having been stopped.
 const FAILED_COUNTER: &str = "failed";
+/// Counter of attempts that were on their machine again after their exit was known.
+const REAPPEARED_COUNTER: &str = "reappeared";
 
 impl Leader {
     /// Handles the exit of a task's attempt.
@@ -160,6 +162,18 @@
         }
     }
 
+    /// Handles an attempt that is on its machine again although its exit was known.
+    pub(super) fn task_reappeared(&mut self, machine: &MachineId, status: &TaskStatus) {
+        self.metrics.count(REAPPEARED_COUNTER);
+        log::warn!(
+            "exited task reappeared job={} task={} attempt={} machine={machine} state={:?}",
+            status.task.job,
+            status.task,
+            status.attempt,
+            status.state
+        );
+    }
+
     /// Adopts a task that an agent reports and the leader did not place there: a late start, or one whose record was
     /// dropped. The task occupies capacity until it is stopped.
     pub(super) fn adopt_unknown_task(&mut self, machine: &MachineId, status: TaskStatus, now: Now) {
--- a/crates/core/src/dispatch/commands.rs
+++ b/crates/core/src/dispatch/commands.rs
@@ -62,23 +62,35 @@
         commands
     }
 
-    /// Logs each start and stop with the fields of the leader's right to act that it was sent under.
+    /// Logs each command with the token and the incarnation that it is sent under, and with the fields of the leader's
+    /// right to act.
     fn log_commands(&self, id: &MachineId, commands: &[Command], delivery: Delivery, now: Time) {
         if commands.is_empty() || !log::log_enabled!(log::Level::Debug) {
             return;
         }
-        let term_fields = format!("{} delivery={delivery:?}", self.term.log_fields(now));
+        let Some(machine) = self.fleet.machines.get(id) else {
+            return;
+        };
+        let sent_fields = format!(
+            "machine={id} {} token={} incarnation={} delivery={delivery:?}",
+            self.term.log_fields(now),
+            self.term.epoch(),
+            machine.last_message.incarnation
+        );
         for command in commands {
+            let (Command::Start { task, attempt }
+            | Command::Stop { task, attempt, .. }
+            | Command::Forget { task, attempt }) = command;
+            let subject = format!("job={} task={task} attempt={attempt}", task.job);
             match command {
-                Command::Start { task, attempt } => log::debug!(
-                    "start sent job={} task={task} attempt={attempt} machine={id} {term_fields}",
-                    task.job
-                ),
-                Command::Stop { task, attempt, .. } => log::debug!(
-                    "stop sent job={} task={task} attempt={attempt} machine={id} {term_fields}",
-                    task.job
-                ),
-                Command::Forget { .. } => {}
+                Command::Start { .. } => log::debug!("start sent {subject} {sent_fields}"),
+                Command::Stop { .. } => log::debug!("stop sent {subject} {sent_fields}"),
+                Command::Forget { .. } => {
+                    let basis = (machine.task(task, *attempt))
+                        .map(PlacedTask::log_fields)
+                        .unwrap_or_default();
+                    log::debug!("forget sent {subject} {sent_fields} {basis}");
+                }
             }
         }
     }
--- a/crates/core/src/dispatch/direct_calls.rs
+++ b/crates/core/src/dispatch/direct_calls.rs
@@ -139,6 +139,7 @@
             _ => CallEnd::Known,
         };
         self.close_call(id, &body.commands, end);
+        log_call_end(id, body, &outcome);
         match outcome {
             DirectOutcome::Executed(report) => self.direct_call_answered(&report, now),
             DirectOutcome::Rejected(Some(report)) if report.token > self.term.epoch() => {
@@ -198,6 +199,24 @@
     }
 }
 
+/// Logs the end of a call, so that a command that is carried out later can be told from one that was not answered.
+fn log_call_end(id: &MachineId, body: &DirectCommands, outcome: &DirectOutcome) {
+    let (end, answer) = match outcome {
+        DirectOutcome::Executed(report) => ("executed", Some(report)),
+        DirectOutcome::Rejected(report) => ("rejected", report.as_ref()),
+        DirectOutcome::NotCalled => ("not called", None),
+        DirectOutcome::NotSent => ("not sent", None),
+        DirectOutcome::Unknown => ("unknown", None),
+    };
+    log::debug!(
+        "direct call ended machine={id} token={} incarnation={} commands={} outcome={end:?} answer_seq={:?}",
+        body.token,
+        body.incarnation,
+        body.commands.len(),
+        answer.map(|report| report.seq.0)
+    );
+}
+
 fn has_start(commands: &[Command]) -> bool {
     (commands.iter()).any(|command| matches!(command, Command::Start { .. }))
 }
--- a/crates/core/src/fleet/placed_task.rs
+++ b/crates/core/src/fleet/placed_task.rs
@@ -109,6 +109,8 @@
     Lost(TaskId, Attempt),
     /// A task is reported that the leader has not placed on the machine.
     Unknown(TaskStatus),
+    /// An attempt is reported as on the machine that had been reported as exited.
+    Reappeared(TaskStatus),
 }
 
 /// The end of a task's attempt, as an agent reports it.
@@ -208,6 +210,15 @@
             && !self.start_may_arrive_late
     }
 
+    /// Returns the fields for log lines that say why the agent may forget the attempt: how the attempt ended, and under
+    /// which epoch and incarnation its start was last sent.
+    pub fn log_fields(&self) -> String {
+        format!(
+            "phase={:?} start_epoch={} start_incarnation={} open_direct_starts={}",
+            self.phase, self.start_sent.epoch, self.start_sent.incarnation, self.open_direct_starts
+        )
+    }
+
     /// Applies the status that the newest report shows of the task.
     pub(super) fn apply_status(
         &mut self,
@@ -217,6 +228,9 @@
     ) {
         self.missing_since = None;
         if self.has_exited() {
+            if status.state != TaskState::Exited {
+                changes.push(TaskChange::Reappeared(status.clone()));
+            }
             return;
         }
         if status.state == TaskState::Exited {
