--- a/crates/core/tests/sim/main.rs
+++ b/crates/core/tests/sim/main.rs
@@ -2,6 +2,7 @@
 
 mod admin_forms;
 mod cancellations_in_outages;
+mod copied_messages;
 mod decision_trace;
 mod large_fleets;
 mod machines_with_gpus;
@@ -159,6 +160,11 @@
         "pipelines" => drop(pipelines::run_with_faults(seed, pipelines::scenario(nodes))),
         "versions" => rolling_upgrades::run_with_faults(seed, nodes),
         "pauses" => paused_nodes::run_with_faults(seed, nodes),
+        "copies" => drop(copied_messages::run_with_faults(
+            seed,
+            nodes,
+            var("SPREAD") == "1",
+        )),
         "gpus" => machines_with_gpus::run_with_faults(seed, nodes),
         _ => run_with_default_faults(seed, nodes, var("SPREAD") == "1"),
     };
--- a/crates/core/tests/sim/world/agent.rs
+++ b/crates/core/tests/sim/world/agent.rs
@@ -197,16 +197,23 @@
                     .map(|t| jobs[&t.task.job].spec.cpus)
                     .sum();
                 let has_room = used_cpus + job.spec.cpus <= 4.0;
-                self.starts += u32::from(has_room);
+                let is_busy =
+                    (self.tasks.values()).any(|t| t.task == *task && t.state != TaskState::Exited);
+                let refusal = if is_busy {
+                    Some(Cause::Busy)
+                } else {
+                    (!has_room).then_some(Cause::NoRoom)
+                };
+                self.starts += u32::from(refusal.is_none());
                 let new = Task {
                     task: task.clone(),
                     attempt: *attempt,
-                    state: if has_room {
+                    state: if refusal.is_none() {
                         TaskState::Fetching
                     } else {
                         TaskState::Exited
                     },
-                    cause: (!has_room).then_some(Cause::NoRoom),
+                    cause: refusal,
                     since: now,
                     service: job.spec.kind == Kind::Service,
                     gang_broken_since: None,
--- a/crates/core/tests/sim/world/agents.rs
+++ b/crates/core/tests/sim/world/agents.rs
@@ -4,6 +4,8 @@
 
 /// Time after which the sender of commands gives up.
 const UNANSWERED_AFTER_MS: u64 = 800;
+/// Largest request body that the protocol allows.
+const MAX_REPORT_BYTES: usize = 64 * 1_024;
 
 impl World {
     /// Starts gangs whose tasks all wait, and records for each running task that another task of its gang is
@@ -110,6 +112,9 @@
             }
         }
         let report = Box::new(agent.report());
+        if done && generation != u32::MAX {
+            self.call_executed(node, &id, &body);
+        }
         let outcome = if done {
             DirectOutcome::Executed(report)
         } else {
@@ -178,6 +183,11 @@
         let node = agent.node;
         let report = agent.report();
         let incarnation = agent.incarnation.0;
+        if self.scenario.scripted {
+            let bytes = serde_json::to_string(&report).expect("JSON").len();
+            assert!(bytes <= MAX_REPORT_BYTES, "a report of {bytes} bytes");
+            self.longest_report_bytes = self.longest_report_bytes.max(bytes);
+        }
         let cut = partitioned[node]
             || agent.partitioned_until > self.now
             || self.nodes[node].cut_from_agents_until > self.now;
@@ -270,6 +280,7 @@
                 for command in &reply.commands {
                     agent.execute(command, &self.jobs, now);
                 }
+                self.copy_forgotten_starts(&reply.commands);
             }
             421 => {
                 let to: ReportRedirect = serde_json::from_str(body).expect("a reply");
--- a/crates/core/tests/sim/world/faults.rs
+++ b/crates/core/tests/sim/world/faults.rs
@@ -118,6 +118,7 @@
             return;
         }
         self.epoch_seen = epoch;
+        self.copy_all_starts();
         for report in std::mem::take(&mut self.held_reports) {
             for node in 0..self.scenario.nodes {
                 let delay = self.rng.random_range(0..300);
@@ -238,7 +239,10 @@
                 self.affect_some_agents(0.2, |w| w.unable_to_report_until = default_until + 5_000)
             }
             Fault::MachinesHang => self.affect_some_agents(0.2, |w| w.hangs_until = default_until),
-            Fault::MachinesReboot => self.affect_some_agents(0.1, SimulatedAgent::reboot),
+            Fault::MachinesReboot => {
+                self.affect_some_agents(0.1, SimulatedAgent::reboot);
+                self.copy_all_starts();
+            }
             Fault::LateReports => self.late_reports_until = default_until,
             Fault::ReportsHeldForNextLeader => self.hold_reports_until = default_until,
             Fault::CloudDown => self.cloud.down = !self.cloud.down,
--- a/crates/core/tests/sim/world/mod.rs
+++ b/crates/core/tests/sim/world/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 mod agents;
 mod cloud;
+mod copied_messages;
 mod costs;
 mod decision_digest;
 mod direct_calls;
@@ -30,6 +31,7 @@
 
 pub use agent::SimulatedAgent;
 use cloud::Cloud;
+use copied_messages::{CopiedCalls, CopiedMessage};
 use direct_calls::{QueuedCall, RevokedStarts};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -39,7 +41,7 @@
     StartRevocation, StoreAnswer, UserRequest,
 };
 use rudderreel_wire::admin::AdminSettings;
-use rudderreel_wire::ids::{Attempt, JobId, MachineId, NodeName, Version};
+use rudderreel_wire::ids::{Attempt, JobId, MachineId, NodeName, TaskId, Version};
 use rudderreel_wire::job::{JobSpec, JobState, Kind, Priority};
 use rudderreel_wire::peer::{
     Forward, ForwardedReports, ForwardedReportsReply, ForwardedSubmission, HeartbeatReply,
@@ -94,6 +96,8 @@
     /// A direct call that is queued in a process, and the time before which it must be sent.
     DirectQueued(usize, u32, MachineId, QueuedCall),
     LateReport(usize, Box<StatusReport>),
+    /// A message that was carried out and answered arrives once more.
+    Copy(Box<CopiedMessage>),
     StatusSweep(usize),
     UserAction(usize, JobId, UserAction),
     ForwardReports(usize, usize, u32, CallId, ForwardedReports),
@@ -202,6 +206,10 @@
     ended: BTreeSet<JobId>,
     /// Injected or observed faults, each with its start and end.
     pub faults_seen: Vec<(Fault, u64, u64)>,
+    /// Size of the longest report in a scripted run, in bytes.
+    pub longest_report_bytes: usize,
+    /// Direct calls that agents have carried out, and what became of their copies.
+    pub copied_calls: CopiedCalls,
     /// Start commands that a node sent after the job's user was answered that it is cancelled, each with the
     /// milliseconds since that answer.
     pub starts_after_cancellation: Vec<(JobId, u64)>,
@@ -303,6 +311,8 @@
             epoch_seen: 0,
             ended: BTreeSet::new(),
             faults_seen: Vec::new(),
+            longest_report_bytes: 0,
+            copied_calls: CopiedCalls::default(),
             starts_after_cancellation: Vec::new(),
             next_check: 0,
             cut_pairs: Vec::new(),
@@ -405,7 +415,9 @@
                 self.watch(node, generation, after, sent)
             }
             Event::RetryWatch(node, generation, after) => self.retry_watch(node, generation, after),
+            Event::Copy(message) => self.deliver_copy(*message),
             Event::Cloud(node, generation, id, call) => {
+                self.copy_at_random_age(CopiedMessage::Cloud(call.clone()));
                 let answer = self.cloud.call(&call, self.now);
                 self.boot_machines();
                 let message_delay = 40 + self.message_delay();
--- a/crates/core/tests/sim/world/nodes.rs
+++ b/crates/core/tests/sim/world/nodes.rs
@@ -40,6 +40,7 @@
     pub fn restart_quickly(&mut self, node: usize) {
         let down_ms = self.rng.random_range(50..900);
         self.stop_process(node, down_ms);
+        self.copy_all_starts();
     }
 
     /// Stops a node's process and restarts it after `down_ms`.
--- a/crates/core/tests/sim/world/peer_messages.rs
+++ b/crates/core/tests/sim/world/peer_messages.rs
@@ -7,7 +7,7 @@
 const UNREACHABLE_AFTER_MS: u64 = 500;
 
 /// Returns the input that a request forwarded by a peer becomes.
-fn forwarded_input(req: ReqId, forward: Forward) -> Input {
+pub(super) fn forwarded_input(req: ReqId, forward: Forward) -> Input {
     let sender = SenderVersion::KnowsDependencies;
     let (request, sender) = match forward {
         Forward::Submit(text) => {
@@ -49,6 +49,7 @@
         {
             return;
         }
+        self.copy_at_random_age(CopiedMessage::Heartbeat(to, heartbeat.clone()));
         let sender = Requester::Heartbeat(from, self.clock(from).time);
         let gives_up = self.pause_outlasts(to, pauses::PEER_TIMEOUT_MS);
         let req = self.new_request(to, if gives_up { Requester::Nobody } else { sender });
@@ -68,6 +69,7 @@
         if self.nodes[to].process.is_none() || !self.connected(from, to) {
             return self.schedule(UNREACHABLE_AFTER_MS, unanswered);
         }
+        self.copy_at_random_age(CopiedMessage::Forward(to, forward.clone()));
         let mut sender = Requester::Peer(from, req);
         if self.pause_outlasts(to, pauses::PEER_TIMEOUT_MS) {
             self.schedule(pauses::PEER_TIMEOUT_MS, unanswered);
@@ -94,6 +96,7 @@
             let req = self.new_request(to, Requester::Nobody);
             self.step(to, Input::ReplicateCancellations(req, cancellations));
         } else if !gone {
+            self.copy_at_random_age(CopiedMessage::Cancellations(to, cancellations.clone()));
             let req = self.new_request(to, Requester::ReplicateCancellations(from, generation));
             return self.step(to, Input::ReplicateCancellations(req, cancellations));
         }
@@ -146,6 +149,7 @@
                 Event::Input(from, generation, Input::ForwardedReportsReply(id, None)),
             );
         }
+        self.copy_at_random_age(CopiedMessage::ForwardedReports(to, reports.clone()));
         let req = self.new_request(to, Requester::ForwardedReports(from, generation, id));
         if self.scenario.steps_take_time {
             // The sender gives up after this time; an answer that arrives later no longer has a waiting call.
--- a/crates/core/tests/sim/world/scenario.rs
+++ b/crates/core/tests/sim/world/scenario.rs
@@ -33,6 +33,8 @@
     pub zones: bool,
     /// Longest time between two user actions, in milliseconds; the shortest is a quarter of it.
     pub user_interval_ms: u64,
+    /// While random faults are on, messages that were carried out and answered arrive once more.
+    pub copied_messages: bool,
     /// Users do only what the test makes them do.
     pub scripted: bool,
     /// Shortest and longest boot time of a machine, in milliseconds.
@@ -95,6 +97,7 @@
             fault_kinds: Vec::new(),
             zones: false,
             user_interval_ms: 400,
+            copied_messages: false,
             scripted: false,
             boot_ms: (4_000, 4_000),
             uneven_run_times: false,
--- a/crates/core/tests/sim/world/store_calls.rs
+++ b/crates/core/tests/sim/world/store_calls.rs
@@ -72,6 +72,9 @@
         } else {
             self.store.call(&call, self.now)
         };
+        if is_write {
+            self.copy_at_random_age(CopiedMessage::Store(repeat.clone()));
+        }
         if matches!(answer, StoreAnswer::Rejected) {
             self.record_rejected(node, generation, sent, &repeat, message_delay);
         }
--- a/crates/core/tests/sim/world/users.rs
+++ b/crates/core/tests/sim/world/users.rs
@@ -94,20 +94,26 @@
 
     /// Sends a user's request to a node if its process runs.
     pub fn user_asks(&mut self, node: usize, id: &JobId, action: UserAction) {
-        let request = match action {
-            UserAction::Submit => UserRequest::Submit(Box::new(self.jobs[id].spec.clone())),
-            UserAction::Status => UserRequest::Status(id.clone()),
-            UserAction::Cancel => UserRequest::Cancel(id.clone()),
-        };
+        let request = self.user_request(id, action);
         if action == UserAction::Cancel {
             self.jobs.get_mut(id).expect("a job").cancel_requested = true;
         }
         if self.nodes[node].process.is_some() {
             let req = self.new_request(node, Requester::User(id.clone(), action, self.now));
+            self.copy_at_random_age(CopiedMessage::UserAction(node, id.clone(), action));
             self.step(node, Input::User(req, request));
         }
     }
 
+    /// Returns a user's request about a job.
+    pub(super) fn user_request(&self, id: &JobId, action: UserAction) -> UserRequest {
+        match action {
+            UserAction::Submit => UserRequest::Submit(Box::new(self.jobs[id].spec.clone())),
+            UserAction::Status => UserRequest::Status(id.clone()),
+            UserAction::Cancel => UserRequest::Cancel(id.clone()),
+        }
+    }
+
     /// Draws a job.
     pub(super) fn new_job(&mut self) -> JobSpec {
         let rng = &mut self.rng;
@@ -311,6 +317,9 @@
         let job = self.jobs.get_mut(id).expect("a known job");
         let is_new_state = job.last.is_none() || job.last != Some(state);
         job.last = Some(state);
+        if matches!(state, JobState::Done | JobState::Cancelled) {
+            self.copy_starts_of_job(id);
+        }
         if is_new_state && now < self.rapid_status_until {
             self.query_all_nodes(id);
             if state == JobState::Queued && self.rng.random_bool(0.2) {
