--- a/crates/controller/src/outgoing/agents/tests.rs
+++ b/crates/controller/src/outgoing/agents/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use rudderreel_core::units::Span;
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, JobId};
+use rudderreel_wire::ids::{Attempt, FencingToken, Incarnation, JobId};
 use rudderreel_wire::worker::Command;
 use std::io::ErrorKind;
 use std::net::TcpListener;
@@ -27,7 +27,7 @@
             machine: "vm-1".into(),
             addr: self.0.local_addr().expect("an address").to_string(),
             commands: DirectCommands {
-                token: Epoch(1),
+                token: FencingToken(1),
                 incarnation: Incarnation(1),
                 commands: vec![start],
             },
--- a/crates/controller/src/outgoing/tests.rs
+++ b/crates/controller/src/outgoing/tests.rs
@@ -2,7 +2,7 @@
 use super::*;
 use crossbeam_channel::bounded;
 use rudderreel_core::{CallId, CloudAnswer, CloudCall, DirectOutcome, StoreAnswer, StoreCall};
-use rudderreel_wire::ids::{Epoch, Incarnation, Version};
+use rudderreel_wire::ids::{FencingToken, Incarnation, Version};
 use rudderreel_wire::peer::{Forward, ForwardedReports, ReplicateCancellations};
 use rudderreel_wire::worker::DirectCommands;
 
@@ -31,7 +31,7 @@
 fn a_call_that_finds_its_queue_full_is_answered() {
     let (outgoing, now, id) = (full_queues(), Time(1), CallId(7));
     let body = DirectCommands {
-        token: Epoch(1),
+        token: FencingToken(1),
         incarnation: Incarnation(1),
         commands: Vec::new(),
     };
--- a/crates/controller/tests/loopback/agents.rs
+++ b/crates/controller/tests/loopback/agents.rs
@@ -4,7 +4,7 @@
 use crate::history::{Change, Event, History};
 use rudderreel_core::Value;
 use rudderreel_wire::cloud::ScaleOutRequest;
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, JobId, MachineId, Seq, TaskId};
+use rudderreel_wire::ids::{Attempt, FencingToken, Incarnation, JobId, MachineId, Seq, TaskId};
 use rudderreel_wire::job::JobSpec;
 use rudderreel_wire::worker::{
     Cause, Command, DirectCommands, StatusReport, StatusReportReply, TaskState, TaskStatus,
@@ -50,7 +50,7 @@
 struct AgentState {
     incarnation: Incarnation,
     seq: u64,
-    token: Epoch,
+    token: FencingToken,
     /// Start of the lease: when the last answered report was sent, or when the incarnation began if no report has been
     /// answered since.
     lease_start: Instant,
@@ -75,7 +75,7 @@
         let state = AgentState {
             incarnation: Incarnation(1),
             seq: 0,
-            token: Epoch(0),
+            token: FencingToken(0),
             lease_start: Instant::now(),
             tasks: BTreeMap::new(),
         };
--- a/crates/controller/tests/loopback/fleet.rs
+++ b/crates/controller/tests/loopback/fleet.rs
@@ -4,7 +4,7 @@
 use crate::controller::{start_all, Controller, Deployment};
 use crate::history::History;
 use crate::stand_ins::ExternalServices;
-use rudderreel_wire::ids::{Epoch, Incarnation, Seq};
+use rudderreel_wire::ids::{FencingToken, Incarnation, Seq};
 use rudderreel_wire::worker::StatusReport;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -79,7 +79,7 @@
         spot: false,
         incarnation: Incarnation(1),
         seq: Seq(seq),
-        token: Epoch(0),
+        token: FencingToken(0),
         reclaim_in_s: None,
         tasks: Vec::new(),
     };
--- a/crates/core/src/agents/forwarded_reports.rs
+++ b/crates/core/src/agents/forwarded_reports.rs
@@ -5,7 +5,7 @@
 use crate::io::json;
 use crate::leader::Leader;
 use crate::units::Now;
-use rudderreel_wire::ids::{Epoch, Incarnation, MachineId, Seq};
+use rudderreel_wire::ids::{FencingToken, Incarnation, MachineId, Seq};
 use rudderreel_wire::peer::{ForwardedAnswer, ForwardedReport, ForwardedTasks};
 use rudderreel_wire::worker::{StatusReport, StatusReportReply};
 
@@ -27,15 +27,22 @@
             self.remember_forwarded_list(&report);
         }
         match answer {
-            Some(commands) if commands.is_empty() => ForwardedAnswer::Answered(None),
-            Some(commands) => {
-                let token = self.term.epoch();
-                ForwardedAnswer::Answered(Some(json(&StatusReportReply { token, commands })))
+            Some(reply) if reply == self.reply_without_commands() => {
+                ForwardedAnswer::Answered(None)
             }
+            Some(reply) => ForwardedAnswer::Answered(Some(json(&reply))),
             None => ForwardedAnswer::Refused,
         }
     }
 
+    /// Returns the answer that a peer gives an agent if the leader names none.
+    fn reply_without_commands(&self) -> StatusReportReply {
+        StatusReportReply {
+            token: self.term.tokens().first,
+            commands: Vec::new(),
+        }
+    }
+
     /// Returns the agent's report, or the answer to the peer if the report can't be restored.
     fn restore_report(&self, forwarded: ForwardedReport) -> Result<StatusReport, ForwardedAnswer> {
         let id = MachineId::from(forwarded.machine.as_str());
@@ -51,7 +58,7 @@
                 let repeated = (self.report_with_list(&id, list)).ok_or(ForwardedAnswer::Whole)?;
                 Ok(StatusReport {
                     seq: Seq(forwarded.seq),
-                    token: Epoch(forwarded.token),
+                    token: FencingToken(forwarded.token),
                     reclaim_in_s: forwarded.reclaim_in_s,
                     ..repeated
                 })
@@ -74,7 +81,7 @@
             spot: machine.is_spot,
             incarnation: list.incarnation,
             seq: list.seq,
-            token: self.term.epoch(),
+            token: machine.acknowledged_token,
             reclaim_in_s: None,
             tasks: machine.reported_tasks.tasks.to_vec(),
         })
--- a/crates/core/src/agents/probing.rs
+++ b/crates/core/src/agents/probing.rs
@@ -82,10 +82,11 @@
     }
 
     /// Returns whether a machine should stop a task that may be gone already. Its agent is probed at once: until the
-    /// agent has acknowledged this leader's epoch, no task that its reports omit is proven gone.
+    /// agent has acknowledged a token of this leader, no task that its reports omit is proven gone.
     fn awaits_acknowledgement_of_stop(&self, machine: &Machine) -> bool {
         let is_stopping = |task: &PlacedTask| task.stop.is_some() && task.occupies_capacity();
-        machine.acknowledged_epoch != self.term.epoch() && machine.tasks.iter().any(is_stopping)
+        machine.acknowledged_token < self.term.tokens().first
+            && machine.tasks.iter().any(is_stopping)
     }
 
     /// Records that an agent has left a call unanswered. If the agent has missed a report, other machines may have
--- a/crates/core/src/agents/reconciliation.rs
+++ b/crates/core/src/agents/reconciliation.rs
@@ -14,42 +14,63 @@
 use crate::leader::Leader;
 use crate::store::records::SegmentId;
 use crate::units::{Now, Span, Time};
-use rudderreel_wire::ids::{MachineId, TaskId};
-use rudderreel_wire::worker::{Command, StatusReport};
+use rudderreel_wire::ids::{FencingToken, MachineId, TaskId};
+use rudderreel_wire::worker::{Command, StatusReport, StatusReportReply};
 
 /// Counter of tasks that were seen running for the first time.
 const STARTED_COUNTER: &str = "started";
 
 impl Leader {
-    /// Reconciles an agent's report and returns the commands of its answer, or none if it must not be answered.
+    /// Reconciles an agent's report and returns its answer, or none if it must not be answered.
     pub fn answer_report(
         &mut self,
         report: &StatusReport,
         job_cache: &JobCache,
         now: Now,
-    ) -> Option<Vec<Command>> {
-        if report.token > self.term.epoch() || self.fleet.is_returned(&report.machine) {
-            // Under a higher epoch another node leads. A machine that was returned is gone, so this is a late copy,
-            // and an answer to it would have no use.
+    ) -> Option<StatusReportReply> {
+        if report.token > self.term.tokens().last || self.fleet.is_returned(&report.machine) {
+            // With a token of a later epoch another node leads. A machine that was returned is gone, so this is a late
+            // copy, and an answer to it would have no use.
             log::debug!(
-                "report refused machine={} epoch={}",
+                "report refused machine={} token={}",
                 report.machine,
-                report.token.0
+                report.token
             );
             return None;
         }
         self.reconcile_report(report, now);
+        let commands = self.commands_for_report(report, job_cache, now);
+        let token = self.token_of_answer(report);
+        Some(StatusReportReply { token, commands })
+    }
+
+    /// Returns the commands of the answer to a report.
+    fn commands_for_report(
+        &mut self,
+        report: &StatusReport,
+        job_cache: &JobCache,
+        now: Now,
+    ) -> Vec<Command> {
         let machine = match self.fleet.machines.get_mut(&report.machine) {
             Some(machine) if self.recovery.is_complete() => machine,
-            _ => return Some(job_cache.stops_for_cancelled_tasks(report)),
+            _ => return job_cache.stops_for_cancelled_tasks(report),
         };
         machine.last_answered_at = Some(now.time);
         if machine.last_message != MessageOrder::of(report) {
             // The answer renews the agent's lease all the same, so it carries the stops of tasks that must not keep
             // running.
-            return Some(job_cache.stops_for_cancelled_tasks(report));
+            return job_cache.stops_for_cancelled_tasks(report);
         }
-        Some(self.answer_commands(&report.machine, now.time))
+        self.answer_commands(&report.machine, now.time)
+    }
+
+    /// Returns the fencing token of the answer to a report. The agent may have seen a higher one than the leader has
+    /// given it, from a node that stood in for the leader.
+    fn token_of_answer(&self, report: &StatusReport) -> FencingToken {
+        let tokens = self.term.tokens();
+        let machine = self.fleet.machines.get(&report.machine);
+        let token = machine.map_or(tokens.first, |machine| machine.command_token(tokens));
+        token.max(report.token)
     }
 
     /// Records that an agent has answered a direct call, and reconciles the report in its answer.
@@ -70,14 +91,13 @@
         if !self.recovery.is_complete() {
             return self.recovery.hold_report(report);
         }
-        let epoch = self.term.epoch();
+        let tokens = self.term.tokens();
         let machine = self.machine_of_report(report, now);
-        let was_reconciled = machine.is_reconciled(epoch);
-        let changes = machine.apply_report(report, epoch, now.time);
+        let was_reconciled = machine.is_reconciled(tokens);
+        let changes = machine.apply_report(report, tokens, now.time);
         machine.remember_reported_tasks(report);
-        machine.epoch_acknowledged(report.token);
         stop_tasks_of_unknown_jobs(machine, now.time);
-        let became_reconciled = !was_reconciled && machine.is_reconciled(epoch);
+        let became_reconciled = !was_reconciled && machine.is_reconciled(tokens);
         if machine.segment == SegmentId::NONE {
             self.placement_log.mark_unrecorded();
         }
--- a/crates/core/src/agents/report_forwarding.rs
+++ b/crates/core/src/agents/report_forwarding.rs
@@ -14,7 +14,7 @@
 use crate::fleet::MessageOrder;
 use crate::io::{json, CallId, ReqId};
 use crate::units::{Span, Time};
-use rudderreel_wire::ids::{Epoch, MachineId, NodeName};
+use rudderreel_wire::ids::{Epoch, FencingToken, MachineId, NodeName};
 use rudderreel_wire::peer::{
     ForwardedAnswer, ForwardedReport, ForwardedReportsReply, ForwardedTasks, MAX_MESSAGE_BYTES,
 };
@@ -103,8 +103,8 @@
     Unanswered(Vec<HeldReport>),
     /// The leader has answered.
     Answered {
-        /// Epoch under which the leader has answered.
-        epoch: Epoch,
+        /// Lowest fencing token of the leader that has answered.
+        token: FencingToken,
         /// Answers to the agents. Reports that the leader asked for in whole wait again.
         answers: Vec<AgentAnswer>,
     },
@@ -223,16 +223,16 @@
     ) -> Option<BatchResult> {
         let held = self.open.remove(&call)?;
         let Some(ForwardedReportsReply {
-            token: Some(epoch),
+            token: Some(token),
             answers,
         }) = reply.filter(|reply| reply.answers.len() == held.len())
         else {
             return Some(BatchResult::Unanswered(held));
         };
         let answers = (held.into_iter().zip(answers))
-            .filter_map(|(held, answer)| self.report_answered(held, answer, epoch, now))
+            .filter_map(|(held, answer)| self.report_answered(held, answer, token, now))
             .collect();
-        Some(BatchResult::Answered { epoch, answers })
+        Some(BatchResult::Answered { token, answers })
     }
 
     /// Handles the leader's answer to one report. Returns the answer to the agent, or none if the report is to be sent
@@ -241,14 +241,14 @@
         &mut self,
         mut held: HeldReport,
         answer: ForwardedAnswer,
-        epoch: Epoch,
+        token: FencingToken,
         now: Time,
     ) -> Option<AgentAnswer> {
         let req = held.req;
         let body = match answer {
             ForwardedAnswer::Answered(commands) => {
                 self.remember_applied(held);
-                Some(commands.unwrap_or_else(|| no_commands(epoch)))
+                Some(commands.unwrap_or_else(|| no_commands(token)))
             }
             ForwardedAnswer::Whole if !held.must_be_whole => {
                 held.must_be_whole = true;
@@ -277,9 +277,9 @@
 }
 
 /// Returns the body of an answer without commands.
-fn no_commands(epoch: Epoch) -> String {
+fn no_commands(token: FencingToken) -> String {
     json(&StatusReportReply {
-        token: epoch,
+        token,
         commands: Vec::new(),
     })
 }
--- a/crates/core/src/agents/report_forwarding/tests.rs
+++ b/crates/core/src/agents/report_forwarding/tests.rs
@@ -13,7 +13,13 @@
 fn report(n: usize, seq: u64, tasks: u32) -> StatusReport {
     let machine = MachineId::from(format!("vm-{n:06}").as_str());
     let job: JobId = format!("wk-{n:06}").parse().expect("an id");
-    let mut report = running_task_report(&machine, Epoch(1), Seq(seq), &job.task(0), Attempt(1));
+    let mut report = running_task_report(
+        &machine,
+        FencingToken(1),
+        Seq(seq),
+        &job.task(0),
+        Attempt(1),
+    );
     report.tasks = (0..tasks)
         .map(|index| TaskStatus {
             task: job.task(index),
@@ -40,7 +46,7 @@
     let batch = (forwarding.take_due_batch(Span(0), NOW.time)).expect("a batch");
     let (call, reports) = forwarding.open_batch(batch);
     let reply = ForwardedReportsReply {
-        token: Some(Epoch(1)),
+        token: Some(FencingToken(1)),
         answers: vec![answer],
     };
     let result = forwarding.batch_answered(call, Some(reply), NOW.time);
@@ -105,7 +111,11 @@
 
 #[test]
 fn a_reply_that_does_not_answer_each_report_answers_no_agent() {
-    for (token, answers) in [(None, 1), (Some(Epoch(1)), 0), (Some(Epoch(1)), 2)] {
+    for (token, answers) in [
+        (None, 1),
+        (Some(FencingToken(1)), 0),
+        (Some(FencingToken(1)), 2),
+    ] {
         let mut forwarding = ReportForwarding::default();
         forwarding.enqueue(ReqId(1), report(1, 1, 3), target(), NOW.time);
         let batch = (forwarding.take_due_batch(Span(0), NOW.time)).expect("a batch");
--- a/crates/core/src/agents/task_outcomes.rs
+++ b/crates/core/src/agents/task_outcomes.rs
@@ -174,16 +174,24 @@
         );
     }
 
+    /// Returns the token and incarnation of a start that the agent of a machine would carry out now.
+    fn present_start(&self, id: &MachineId) -> StartSent {
+        let machine = self.fleet.machines.get(id);
+        let tokens = self.term.tokens();
+        StartSent {
+            token: machine.map_or(tokens.first, |machine| machine.command_token(tokens)),
+            incarnation: machine.map_or(Incarnation(0), |machine| machine.last_message.incarnation),
+        }
+    }
+
     /// Adopts a task that an agent reports and the leader did not place there: a late start, or one whose record was
     /// dropped. The task occupies capacity until it is stopped.
     pub(super) fn adopt_unknown_task(&mut self, machine: &MachineId, status: TaskStatus, now: Now) {
         let spec = (self.jobs.get(&status.task.job)).map(|job| job.spec.clone());
         let mut placed = PlacedTask::planned(status.task.clone(), status.attempt, spec, now.time);
-        placed.start_sent = StartSent {
-            epoch: self.term.epoch(),
-            incarnation: (self.fleet.machines.get(machine))
-                .map_or(Incarnation(0), |machine| machine.last_message.incarnation),
-        };
+        // How its start was sent is not known, so it counts as sent by a direct call under the present token.
+        placed.start_sent = self.present_start(machine);
+        placed.direct_start = Some(placed.start_sent);
         let exit = (status.state == TaskState::Exited).then(|| TaskExit {
             task: status.task.clone(),
             attempt: status.attempt,
--- a/crates/core/src/dispatch/commands.rs
+++ b/crates/core/src/dispatch/commands.rs
@@ -3,16 +3,10 @@
 use super::team_usage::TeamUsage;
 use crate::fleet::{Machine, Phase, PlacedTask, StartSent};
 use crate::leader::Leader;
-use crate::units::{Span, Time};
+use crate::units::Time;
 use rudderreel_wire::ids::MachineId;
 use rudderreel_wire::worker::Command;
 
-/// Time for which reports may omit a task that is to be stopped. If they omit it for longer, a start of unknown outcome
-/// may be in flight for it.
-const MISSING_START_TIMEOUT: Span = Span(3_000);
-/// Minimum time between two bumps of the epoch.
-const MIN_EPOCH_BUMP_INTERVAL: Span = Span(5_000);
-
 /// The way in which commands reach an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Delivery {
@@ -25,6 +19,7 @@
 impl Leader {
     /// Returns the commands to send in the answer to a machine's status report.
     pub fn answer_commands(&mut self, id: &MachineId, now: Time) -> Vec<Command> {
+        self.raise_token_if_needed(id, now);
         self.take_commands(id, &TeamUsage::default(), Delivery::ReportAnswer, now)
     }
 
@@ -74,7 +69,7 @@
         let sent_fields = format!(
             "machine={id} {} token={} incarnation={} delivery={delivery:?}",
             self.term.log_fields(now),
-            self.term.epoch(),
+            machine.command_token(self.term.tokens()),
             machine.last_message.incarnation
         );
         for command in commands {
@@ -105,7 +100,9 @@
         now: Time,
     ) -> Option<Command> {
         let (task, attempt) = (placed.task.clone(), placed.attempt);
-        if placed.may_forget() && delivery == Delivery::ReportAnswer {
+        let token = machine.command_token(self.term.tokens());
+        let may_forget = placed.may_forget(token, machine.last_message.incarnation);
+        if may_forget && delivery == Delivery::ReportAnswer {
             return Some(Command::Forget { task, attempt });
         }
         if let Some(stop) = placed.stop.filter(|_| placed.occupies_capacity()) {
@@ -116,31 +113,33 @@
             });
         }
         let may_start = self.term.may_act(now)
-            && self.awaits_start(placed, delivery)
+            && self.awaits_start(machine, placed, delivery)
             && self.may_start(machine, placed, usage, now);
         may_start.then_some(Command::Start { task, attempt })
     }
 
     /// Returns whether a start of a task has to be sent, or repeated because no report shows the task. A direct call
-    /// sends it only once in an epoch: if that start is lost, the answer to the next report repeats it.
-    fn awaits_start(&self, placed: &PlacedTask, delivery: Delivery) -> bool {
-        match placed.phase {
+    /// sends it only once under a token: if that start is lost, the answer to the next report repeats it.
+    fn awaits_start(&self, machine: &Machine, placed: &PlacedTask, delivery: Delivery) -> bool {
+        let is_due = match placed.phase {
             Phase::Planned => true,
             Phase::Sent => {
-                delivery == Delivery::ReportAnswer || placed.start_sent.epoch != self.term.epoch()
+                let token = machine.command_token(self.term.tokens());
+                delivery == Delivery::ReportAnswer || placed.start_sent.token < token
             }
             Phase::On(_) | Phase::Exited(_) => false,
-        }
+        };
+        is_due && (delivery == Delivery::ReportAnswer || self.accepts_direct_starts(machine))
     }
 
-    /// Records on the placed tasks which starts are being sent, under which epoch and to which incarnation.
+    /// Records on the placed tasks which starts are being sent, under which token and to which incarnation.
     fn mark_starts_sent(&mut self, id: &MachineId, commands: &[Command], delivery: Delivery) {
-        let epoch = self.term.epoch();
+        let tokens = self.term.tokens();
         let Some(machine) = self.fleet.machines.get_mut(id) else {
             return;
         };
         let start_sent = StartSent {
-            epoch,
+            token: machine.command_token(tokens),
             incarnation: machine.last_message.incarnation,
         };
         for command in commands {
@@ -150,24 +149,11 @@
             if let Some(placed) = machine.task_mut(task, *attempt) {
                 placed.phase = Phase::Sent;
                 placed.start_sent = start_sent;
-                placed.open_direct_starts += u32::from(delivery == Delivery::DirectCall);
+                if delivery == Delivery::DirectCall {
+                    placed.direct_start = Some(start_sent);
+                    placed.open_direct_starts += 1;
+                }
             }
         }
     }
-
-    /// Returns whether a start of unknown outcome keeps a task from being forgotten or stopped. Only a new epoch rules
-    /// out that such a start still arrives.
-    pub fn needs_epoch_bump(&self, now: Time) -> bool {
-        let is_stuck = |placed: &PlacedTask| {
-            let cannot_be_forgotten =
-                placed.has_exited() && placed.outcome_recorded && placed.start_may_arrive_late;
-            let cannot_be_stopped = placed.stop.is_some()
-                && (placed.missing_since).is_some_and(|since| now > since + MISSING_START_TIMEOUT);
-            cannot_be_forgotten || cannot_be_stopped
-        };
-        now > self.term.last_epoch_bump_at() + MIN_EPOCH_BUMP_INTERVAL
-            && (self.fleet.machines.values()).any(|machine| {
-                machine.is_reconciled(self.term.epoch()) && machine.tasks.iter().any(is_stuck)
-            })
-    }
 }
--- a/crates/core/src/dispatch/direct_calls.rs
+++ b/crates/core/src/dispatch/direct_calls.rs
@@ -1,14 +1,15 @@
 //! Direct calls to agents: commands that can't wait for the next report, and probes without commands.
 //!
-//! Each machine has at most one call open. While a call with a start is open, or if it has ended without an answer, the
-//! start may still be carried out: the placed task records that (`open_direct_starts`, `start_may_arrive_late`).
+//! Each machine has at most one call open. A call with a start may be carried out at any time after it was sent, and
+//! again after it was answered, as long as its token is valid: the placed task records the token (`direct_start`).
 
 use super::team_usage::TeamUsage;
 use crate::fleet::{DirectCallBudget, Machine, Phase};
 use crate::io::DirectOutcome;
 use crate::leader::Leader;
+use crate::leadership::fencing_tokens::TokenRange;
 use crate::units::{Now, Span, Time};
-use rudderreel_wire::ids::{Epoch, JobId, MachineId};
+use rudderreel_wire::ids::{JobId, MachineId};
 use rudderreel_wire::worker::{Command, DirectCommands};
 
 /// Minimum time between two direct calls to a machine.
@@ -25,15 +26,6 @@
     pub(crate) send_until: Option<Time>,
 }
 
-/// Whether the outcome of a direct call is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CallEnd {
-    /// The call was answered, or was surely not made.
-    Known,
-    /// The call may have been carried out, or may yet be.
-    Unknown,
-}
-
 impl Leader {
     /// Opens calls with the commands that wait for some machines, non-preemptible starts first. With
     /// `only_non_preemptible` only machines that await such a start are called; the other commands are sent in the
@@ -71,25 +63,28 @@
             return None;
         }
         self.fleet.direct_calls.take_token();
-        let epoch = self.term.epoch();
+        let tokens = self.term.tokens();
         // A start is checked now and may wait in this process before it is sent. The right to act under which it was
         // checked must not lapse meanwhile.
         let send_until = has_start(&commands).then(|| self.term.may_act_until());
         let machine = self.fleet.machines.get_mut(id)?;
         machine.next_direct_call_at = now + MIN_CALL_INTERVAL;
-        let call = open_call(machine, addr, epoch, commands);
+        let call = open_call(machine, addr, tokens, commands);
         Some(DirectCall { send_until, ..call })
     }
 
     /// Opens a probe, which is a call without commands that asks an agent for a status report. Returns none if a call
     /// to the machine is open.
-    pub(crate) fn probe(&mut self, id: &MachineId) -> Option<DirectCall> {
+    pub(crate) fn probe(&mut self, id: &MachineId, now: Time) -> Option<DirectCall> {
+        // An agent whose reports reach no node acknowledges a raised token only in its answer to a call.
+        self.raise_token_if_needed(id, now);
+        let tokens = self.term.tokens();
         let machine = self.fleet.machines.get_mut(id)?;
         if machine.direct_call_open {
             return None;
         }
         let addr = machine.addr.clone()?;
-        Some(open_call(machine, addr, self.term.epoch(), Vec::new()))
+        Some(open_call(machine, addr, tokens, Vec::new()))
     }
 
     /// Returns whether the budget allows another direct call now. A node with little processor time makes fewer calls.
@@ -103,12 +98,12 @@
     pub fn needs_direct_call(&self, machine: &Machine, now: Time) -> bool {
         let may_be_called = !machine.direct_call_open
             && machine.next_direct_call_at <= now
-            && machine.is_reconciled(self.term.epoch());
+            && machine.is_reconciled(self.term.tokens());
         may_be_called
             && machine.tasks.iter().any(|placed| {
                 let awaits_start =
                     placed.is_recorded() && placed.phase == Phase::Planned && placed.stop.is_none();
-                awaits_start || placed.awaits_stop()
+                awaits_start && self.accepts_direct_starts(machine) || placed.awaits_stop()
             })
     }
 
@@ -134,17 +129,13 @@
         outcome: DirectOutcome,
         now: Now,
     ) {
-        let end = match outcome {
-            DirectOutcome::Unknown => CallEnd::Unknown,
-            _ => CallEnd::Known,
-        };
-        self.close_call(id, &body.commands, end);
+        self.close_call(id, &body.commands);
         log_call_end(id, body, &outcome);
         match outcome {
             DirectOutcome::Executed(report) => self.direct_call_answered(&report, now),
-            DirectOutcome::Rejected(Some(report)) if report.token > self.term.epoch() => {
+            DirectOutcome::Rejected(Some(report)) if report.token > self.term.tokens().last => {
                 log::warn!(
-                    "agent follows a later leader machine={id} epoch={}",
+                    "agent follows a later leader machine={id} token={}",
                     report.token.0
                 );
             }
@@ -161,8 +152,8 @@
         }
     }
 
-    /// Closes the open call to a machine. If its outcome is unknown, the starts in it may still arrive.
-    fn close_call(&mut self, id: &MachineId, commands: &[Command], end: CallEnd) {
+    /// Closes the open call to a machine.
+    fn close_call(&mut self, id: &MachineId, commands: &[Command]) {
         let Some(machine) = self.fleet.machines.get_mut(id) else {
             return;
         };
@@ -173,7 +164,6 @@
             };
             if let Some(placed) = machine.task_mut(task, *attempt) {
                 placed.open_direct_starts = placed.open_direct_starts.saturating_sub(1);
-                placed.start_may_arrive_late |= end == CallEnd::Unknown;
             }
         }
     }
@@ -183,7 +173,7 @@
 fn open_call(
     machine: &mut Machine,
     addr: String,
-    epoch: Epoch,
+    tokens: TokenRange,
     commands: Vec<Command>,
 ) -> DirectCall {
     machine.direct_call_open = true;
@@ -191,7 +181,7 @@
         machine: machine.id.clone(),
         addr,
         body: DirectCommands {
-            token: epoch,
+            token: machine.command_token(tokens),
             incarnation: machine.last_message.incarnation,
             commands,
         },
--- a/crates/core/src/dispatch/start_check.rs
+++ b/crates/core/src/dispatch/start_check.rs
@@ -88,7 +88,7 @@
         let is_leading = self.recovery.is_complete() && self.term.may_act(now);
         let is_done = job.done.contains(placed.task.index);
         let may_be_elsewhere = job.may_be_elsewhere(placed.task.index, &machine.id, placed.attempt);
-        let is_reconciled = machine.is_reconciled(self.term.epoch())
+        let is_reconciled = machine.is_reconciled(self.term.tokens())
             && machine.is_heard_within(self.agent_timings.lease, now);
         let is_allowed = satisfies_node_affinity(
             &job.spec,
--- a/crates/core/src/dispatch/start_check/tests.rs
+++ b/crates/core/src/dispatch/start_check/tests.rs
@@ -4,7 +4,7 @@
 use crate::store::records::SegmentId;
 use crate::testing::{add_live_machine, add_running_task, job, leader, NOW};
 use crate::units::Span;
-use rudderreel_wire::ids::{Attempt, Epoch, MachineId};
+use rudderreel_wire::ids::{Attempt, FencingToken, MachineId};
 use std::sync::Arc;
 
 /// Returns a leader with a recorded placement of a job's first task for which no start was sent, and its machine.
@@ -58,7 +58,7 @@
         Err(StartRefusal::Stopping)
     );
     assert_eq!(
-        refusal(|leader, id| machine(leader, id).acknowledged_epoch = Epoch(0)),
+        refusal(|leader, id| machine(leader, id).acknowledged_token = FencingToken(0)),
         Err(StartRefusal::MachineNotReconciled)
     );
     assert_eq!(
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -3,8 +3,8 @@
 //! **Which tasks may be on which machine is decided here and nowhere else.** An attempt may be on a machine from
 //! the moment its record is committed until one of these conditions holds:
 //! 1. A report of that machine's agent, the newest by incarnation and sequence number, shows the attempt as exited; or
-//!    omits it when no start for it can still be in flight: the report belongs to a later incarnation than the start,
-//!    or acknowledges a later epoch than the start was sent under, so that a delayed start would be refused.
+//!    omits it when no start for it can be carried out any more: the report belongs to a later incarnation than the
+//!    start, or acknowledges a higher fencing token, so that a delayed start, or a copy of one, would be refused.
 //! 2. The cloud has answered that the machine is returned.
 //! 3. The agent's lease has surely expired: no node has answered its reports for the lease, clock drift and a margin,
 //!    nor has the leader heard from the agent in that time. Both are required, because an incarnation's lease also runs
@@ -16,9 +16,12 @@
 use super::placed_task::{Phase, PlacedTask, TaskChange};
 use super::reasons::RetireReason;
 use super::report_order::{MessageOrder, ReportedTasks};
+use crate::leadership::fencing_tokens::TokenRange;
 use crate::store::records::SegmentId;
 use crate::units::{Resources, Span, Time, Wall};
-use rudderreel_wire::ids::{Attempt, Epoch, Image, Incarnation, MachineId, TaskId, TypeName, Zone};
+use rudderreel_wire::ids::{
+    Attempt, FencingToken, Image, Incarnation, MachineId, TaskId, TypeName, Zone,
+};
 use rudderreel_wire::worker::StatusReport;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -60,8 +63,11 @@
     pub addr: Option<String>,
     /// Newest message of its agent that was applied.
     pub last_message: MessageOrder,
-    /// Highest epoch that its agent has acknowledged.
-    pub acknowledged_epoch: Epoch,
+    /// Highest fencing token that its agent has acknowledged.
+    pub acknowledged_token: FencingToken,
+    /// Highest fencing token that was acknowledged, or that commands for its agent were given (see
+    /// [`Machine::command_token`]).
+    pub raised_token: FencingToken,
     /// Tasks that are planned for the machine or may be on it. Exited ones are kept until the agent has forgotten them.
     pub tasks: Vec<PlacedTask>,
     /// Committed segment of the placement log that names the machine.
@@ -117,7 +123,8 @@
             known_since: description.known_since,
             addr: None,
             last_message: MessageOrder::default(),
-            acknowledged_epoch: Epoch(0),
+            acknowledged_token: FencingToken(0),
+            raised_token: FencingToken(0),
             tasks: Vec::new(),
             segment: SegmentId::NONE,
             pending_segment: SegmentId::NONE,
@@ -181,9 +188,15 @@
         self.retire_reason.get_or_insert(reason);
     }
 
-    /// Returns whether the machine is up and the tasks on it are known under this epoch.
-    pub fn is_reconciled(&self, epoch: Epoch) -> bool {
-        self.last_heard_at.is_some() && self.acknowledged_epoch == epoch
+    /// Returns whether the machine is up and the tasks on it are known to the leader of the term with these tokens: its
+    /// agent has acknowledged one of them.
+    pub fn is_reconciled(&self, tokens: TokenRange) -> bool {
+        self.last_heard_at.is_some() && self.acknowledged_token >= tokens.first
+    }
+
+    /// Returns the fencing token of commands and answers for the agent, in the term with these tokens.
+    pub fn command_token(&self, tokens: TokenRange) -> FencingToken {
+        tokens.clamp(self.raised_token)
     }
 
     /// Returns whether the leader has heard from the agent within a time.
@@ -195,7 +208,7 @@
     pub fn apply_report(
         &mut self,
         report: &StatusReport,
-        epoch: Epoch,
+        tokens: TokenRange,
         now: Time,
     ) -> Vec<TaskChange> {
         if MessageOrder::of(report) <= self.last_message {
@@ -204,7 +217,8 @@
         }
         self.update_reachability(report, now);
         self.last_message = MessageOrder::of(report);
-        self.acknowledged_epoch = report.token;
+        self.acknowledged_token = report.token;
+        self.raised_token = self.raised_token.max(report.token);
         self.addr = Some(report.addr.clone());
         self.last_heard_at = Some(now);
         self.reclaim_at = report.reclaim_in_s.map(|s| now + Span::secs(s));
@@ -216,7 +230,7 @@
                     placed.apply_status(status, now, &mut changes);
                     true
                 }
-                None => placed.apply_omission(report, epoch, now, &mut changes),
+                None => placed.apply_omission(report, tokens, now, &mut changes),
             }
         });
         for status in &report.tasks {
@@ -231,7 +245,7 @@
     fn update_reachability(&mut self, report: &StatusReport, now: Time) {
         let is_first = self.last_message.incarnation == Incarnation(0);
         let new_incarnation = report.incarnation > self.last_message.incarnation && !is_first;
-        if report.token > self.acknowledged_epoch {
+        if report.token > self.acknowledged_token {
             self.call_answered();
         } else if new_incarnation && self.last_answered_at.is_some() {
             // The agent's lease expired although its reports were answered: perhaps nothing reaches the agent. It gets
@@ -240,14 +254,6 @@
         }
     }
 
-    /// Records that its agent has acknowledged an epoch: starts that were sent under older epochs are refused from now
-    /// on.
-    pub fn epoch_acknowledged(&mut self, epoch: Epoch) {
-        for task in &mut self.tasks {
-            task.epoch_acknowledged(epoch);
-        }
-    }
-
     /// Records that its agent has answered a call, or has shown that it received an answer.
     pub fn call_answered(&mut self) {
         self.unanswered_calls = 0;
--- a/crates/core/src/fleet/machine/tests.rs
+++ b/crates/core/src/fleet/machine/tests.rs
@@ -1,9 +1,13 @@
 use super::*;
 use crate::fleet::StartSent;
+use crate::testing::token_range;
 use rudderreel_wire::ids::Seq;
 use rudderreel_wire::worker::{Cause, TaskState, TaskStatus};
 
-const EPOCH: Epoch = Epoch(5);
+const TOKENS: TokenRange = TokenRange {
+    first: FencingToken(5),
+    last: FencingToken(5),
+};
 const NOW: Time = Time(1_000_000);
 
 fn machine() -> Machine {
@@ -25,7 +29,7 @@
     let mut entry = PlacedTask::planned(task(), Attempt(7), None, NOW);
     entry.phase = phase;
     entry.start_sent = StartSent {
-        epoch: EPOCH,
+        token: TOKENS.first,
         incarnation: Incarnation(1),
     };
     entry
@@ -40,7 +44,7 @@
         spot: false,
         incarnation: Incarnation(incarnation),
         seq: Seq(seq),
-        token: Epoch(token),
+        token: FencingToken(token),
         reclaim_in_s: None,
         tasks,
     }
@@ -60,7 +64,10 @@
 fn omission_of_a_task_whose_start_is_in_flight_proves_nothing() {
     let mut m = machine();
     m.tasks.push(sent(Phase::Sent));
-    assert_eq!(m.apply_report(&report(1, 1, 5, vec![]), EPOCH, NOW), vec![]);
+    assert_eq!(
+        m.apply_report(&report(1, 1, 5, vec![]), TOKENS, NOW),
+        vec![]
+    );
     assert_eq!(m.tasks.len(), 1);
 }
 
@@ -70,7 +77,10 @@
         let mut m = machine();
         m.tasks.push(sent(Phase::Sent));
         let gone = vec![TaskChange::Lost(task(), Attempt(7))];
-        assert_eq!(m.apply_report(&proof, proof.token, NOW), gone);
+        assert_eq!(
+            m.apply_report(&proof, token_range(proof.token.0, proof.token.0), NOW),
+            gone
+        );
         assert!(m.tasks.is_empty());
     }
 }
@@ -80,7 +90,7 @@
     let mut m = machine();
     m.tasks.push(sent(Phase::Sent));
     assert_eq!(
-        m.apply_report(&report(1, 1, 6, vec![]), Epoch(7), NOW),
+        m.apply_report(&report(1, 1, 6, vec![]), token_range(7, 7), NOW),
         vec![]
     );
     assert_eq!(m.tasks.len(), 1);
@@ -92,11 +102,11 @@
     m.tasks.push(sent(Phase::Sent));
     m.apply_report(
         &report(1, 9, 5, vec![status(TaskState::Running, None)]),
-        EPOCH,
+        TOKENS,
         NOW,
     );
     let late = report(1, 8, 5, vec![status(TaskState::Exited, Some(Cause::Done))]);
-    assert_eq!(m.apply_report(&late, EPOCH, NOW), vec![]);
+    assert_eq!(m.apply_report(&late, TOKENS, NOW), vec![]);
     assert_eq!(m.tasks[0].phase, Phase::On(TaskState::Running));
 }
 
@@ -107,14 +117,17 @@
     let mut m = machine();
     let mut newest = report(2, 9, 5, vec![]);
     newest.reclaim_in_s = Some(10.0);
-    m.apply_report(&newest, EPOCH, NOW);
+    m.apply_report(&newest, TOKENS, NOW);
     m.call_unanswered(NOW);
     let later = NOW + Span(30_000);
     for copy in [report(2, 8, 4, vec![]), report(1, 90, 6, vec![]), newest] {
-        assert_eq!(m.apply_report(&copy, EPOCH, later), vec![]);
+        assert_eq!(m.apply_report(&copy, TOKENS, later), vec![]);
         assert_eq!(m.last_heard_at, Some(NOW));
         assert_eq!(m.reclaim_at, Some(NOW + Span(10_000)));
-        assert_eq!((m.acknowledged_epoch, m.unanswered_calls), (EPOCH, 1));
+        assert_eq!(
+            (m.acknowledged_token, m.unanswered_calls),
+            (TOKENS.first, 1)
+        );
     }
 }
 
@@ -123,10 +136,10 @@
 #[test]
 fn a_new_incarnation_despite_answers_makes_a_machine_suspect() {
     let mut m = machine();
-    m.apply_report(&report(1, 1, 5, vec![]), EPOCH, NOW);
+    m.apply_report(&report(1, 1, 5, vec![]), TOKENS, NOW);
     m.last_answered_at = Some(NOW);
     assert_eq!(m.unanswered_calls, 0);
-    m.apply_report(&report(2, 1, 5, vec![]), EPOCH, NOW + Span(13_000));
+    m.apply_report(&report(2, 1, 5, vec![]), TOKENS, NOW + Span(13_000));
     assert_eq!(m.unanswered_calls, 1);
     m.call_answered();
     assert_eq!((m.unanswered_calls, m.unreachable_since), (0, None));
--- a/crates/core/src/fleet/placed_task.rs
+++ b/crates/core/src/fleet/placed_task.rs
@@ -6,9 +6,10 @@
 //! [`PlacedTask::may_forget`]).
 
 use super::reasons::StopReason;
+use crate::leadership::fencing_tokens::TokenRange;
 use crate::store::records::SegmentId;
 use crate::units::{Resources, Span, Time};
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, TaskId};
+use rudderreel_wire::ids::{Attempt, FencingToken, Incarnation, TaskId};
 use rudderreel_wire::job::JobSpec;
 use rudderreel_wire::worker::{Cause, StatusReport, TaskState, TaskStatus};
 use std::sync::Arc;
@@ -26,16 +27,23 @@
     Exited(Cause),
 }
 
-/// The epoch and incarnation under which a start was last sent. The agent refuses the start under a higher epoch or in
-/// a later incarnation.
+/// The fencing token and incarnation under which a start was last sent. The agent carries the start out, however late
+/// and however often it arrives, until it has seen a higher token or has begun a later incarnation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StartSent {
-    /// Epoch of the leader that sent the start.
-    pub epoch: Epoch,
+    /// Fencing token of the start.
+    pub token: FencingToken,
     /// Incarnation of the agent that the start was sent to.
     pub incarnation: Incarnation,
 }
 
+impl StartSent {
+    /// Returns whether an agent that has seen a token, and is in an incarnation, would carry the start out.
+    pub fn is_valid_at(self, token: FencingToken, incarnation: Incarnation) -> bool {
+        self.token >= token && self.incarnation >= incarnation
+    }
+}
+
 /// A decision to stop a task.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Stop {
@@ -80,12 +88,13 @@
     pub segment: SegmentId,
     /// Segment that names the attempt and whose commit is open.
     pub pending_segment: SegmentId,
-    /// Epoch and incarnation under which a start was last sent.
+    /// Token and incarnation under which a start was last sent.
     pub start_sent: StartSent,
+    /// Token and incarnation under which a start was last sent by a direct call; none if no call had one. The call may
+    /// arrive again, also after it was answered.
+    pub direct_start: Option<StartSent>,
     /// Number of direct calls with a start of the attempt whose outcome is open.
     pub open_direct_starts: u32,
-    /// Whether a direct call with a start of the attempt ended without an answer and may still be carried out.
-    pub start_may_arrive_late: bool,
     /// The stop that was decided, if the task is to be stopped.
     pub stop: Option<Stop>,
     /// Whether the outcome is recorded, so that the agent's reports of the attempt are not needed any more.
@@ -138,8 +147,8 @@
             segment: SegmentId::NONE,
             pending_segment: SegmentId::NONE,
             start_sent: StartSent::default(),
+            direct_start: None,
             open_direct_starts: 0,
-            start_may_arrive_late: false,
             stop: None,
             outcome_recorded: false,
             placed_at: now,
@@ -201,21 +210,33 @@
         requested.grace_s = requested.grace_s.min(stop.grace_s);
     }
 
-    /// Returns whether the agent may forget the attempt. No start for it may be in flight, because once the agent has
-    /// forgotten the attempt, a repeated start would run it again.
-    pub fn may_forget(&self) -> bool {
-        self.has_exited()
-            && self.outcome_recorded
-            && self.open_direct_starts == 0
-            && !self.start_may_arrive_late
+    /// Returns whether the attempt has ended, and its agent's reports of it are not needed any more.
+    pub fn awaits_forgetting(&self) -> bool {
+        self.has_exited() && self.outcome_recorded
+    }
+
+    /// Returns whether a direct call with a start of the attempt would be carried out by an agent that has seen a
+    /// token and is in an incarnation.
+    pub fn direct_start_is_valid_at(&self, token: FencingToken, incarnation: Incarnation) -> bool {
+        (self.direct_start).is_some_and(|start| start.is_valid_at(token, incarnation))
+    }
+
+    /// Returns whether the agent may forget the attempt on a command with this token. Once it has forgotten the
+    /// attempt, any start that it accepts runs the attempt again, so none may be valid any more: a call that was
+    /// answered may arrive once more.
+    pub fn may_forget(&self, token: FencingToken, incarnation: Incarnation) -> bool {
+        self.awaits_forgetting() && !self.direct_start_is_valid_at(token, incarnation)
     }
 
     /// Returns the fields for log lines that say why the agent may forget the attempt: how the attempt ended, and under
-    /// which epoch and incarnation its start was last sent.
+    /// which token and incarnation its start was last sent, also by a direct call.
     pub fn log_fields(&self) -> String {
+        let direct_start = (self.direct_start)
+            .map(|start| format!("{}/{}", start.token, start.incarnation))
+            .unwrap_or_default();
         format!(
-            "phase={:?} start_epoch={} start_incarnation={} open_direct_starts={}",
-            self.phase, self.start_sent.epoch, self.start_sent.incarnation, self.open_direct_starts
+            "phase={:?} start_token={} start_incarnation={} direct_start={direct_start:?}",
+            self.phase, self.start_sent.token, self.start_sent.incarnation
         )
     }
 
@@ -256,7 +277,7 @@
     pub(super) fn apply_omission(
         &mut self,
         report: &StatusReport,
-        epoch: Epoch,
+        tokens: TokenRange,
         now: Time,
         changes: &mut Vec<TaskChange>,
     ) -> bool {
@@ -264,8 +285,8 @@
             return true;
         }
         let later_incarnation = report.incarnation > self.start_sent.incarnation;
-        let later_epoch = report.token == epoch && report.token > self.start_sent.epoch;
-        if later_incarnation || later_epoch {
+        let later_token = report.token >= tokens.first && report.token > self.start_sent.token;
+        if later_incarnation || later_token {
             // A start that is still in flight would be refused: the task is surely gone.
             if self.occupies_capacity() {
                 changes.push(TaskChange::Lost(self.task.clone(), self.attempt));
@@ -273,21 +294,12 @@
             return false;
         }
         if self.has_exited() {
-            // The agent has forgotten the attempt on command. No start is in flight, or the command would not have been
-            // sent.
-            return !self.may_forget();
+            // The agent has forgotten the attempt on command.
+            return !self.may_forget(report.token, report.incarnation);
         }
         self.missing_since.get_or_insert(now);
         true
     }
-
-    /// Records that its agent has acknowledged an epoch: a start that was sent under an older one is refused from now
-    /// on.
-    pub(super) fn epoch_acknowledged(&mut self, epoch: Epoch) {
-        if epoch > self.start_sent.epoch {
-            self.start_may_arrive_late = false;
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/core/src/leader/recovery.rs
+++ b/crates/core/src/leader/recovery.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{Machine, MachineDescription, Phase, PlacedTask, StartSent};
 use crate::store::records::{SegmentId, SegmentMachine, SegmentRecord};
 use crate::units::Now;
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, MachineId, TaskId};
+use rudderreel_wire::ids::{Attempt, FencingToken, Incarnation, MachineId, TaskId};
 
 /// Placeholder for the incarnation of an agent if it is not known. No status report has this incarnation.
 const UNKNOWN_INCARNATION: Incarnation = Incarnation(u64::MAX);
@@ -69,7 +69,7 @@
         attempt: Attempt,
         now: Now,
     ) {
-        let earlier_epoch = Epoch(self.term.epoch().0.saturating_sub(1));
+        let earlier_token = FencingToken(self.term.tokens().first.0.saturating_sub(1));
         let Some(found) = self.fleet.machines.get_mut(machine) else {
             return;
         };
@@ -85,9 +85,9 @@
         placed.segment = segment;
         placed.phase = Phase::Sent;
         // The incarnation of the agent to which the start was sent is not known: only a status report that acknowledges
-        // this epoch shows that the task is gone.
+        // a token of this term shows that the task is gone.
         placed.start_sent = StartSent {
-            epoch: earlier_epoch,
+            token: earlier_token,
             incarnation: UNKNOWN_INCARNATION,
         };
         found.tasks.push(placed);
--- a/crates/core/src/leader/recovery/tests.rs
+++ b/crates/core/src/leader/recovery/tests.rs
@@ -4,7 +4,7 @@
 use crate::node::completions::completed_record;
 use crate::testing::{job, leader, running_task_report, NOW};
 use crate::units::Resources;
-use rudderreel_wire::ids::{Attempt, JobId, MachineId, Seq, Version};
+use rudderreel_wire::ids::{Attempt, Epoch, JobId, MachineId, Seq, Version};
 use rudderreel_wire::job::JobState;
 use rudderreel_wire::worker::Command;
 
@@ -75,7 +75,13 @@
             && !leader.placement_log.is_dead(SegmentId(1))
     );
     // One of the tasks is on the machine and is stopped; the other is not, and is surely gone.
-    let report = running_task_report(&machine, Epoch(5), Seq(1), &unknown.task(1), Attempt(3));
+    let report = running_task_report(
+        &machine,
+        FencingToken(5),
+        Seq(1),
+        &unknown.task(1),
+        Attempt(3),
+    );
     leader.reconcile_report(&report, NOW);
     let stop = Command::Stop {
         task: unknown.task(1),
--- a/crates/core/src/leader/recovery_progress/tests.rs
+++ b/crates/core/src/leader/recovery_progress/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::testing::running_task_report;
-use rudderreel_wire::ids::{Attempt, Epoch, JobId, Seq};
+use rudderreel_wire::ids::{Attempt, FencingToken, JobId, Seq};
 
 const NOW: Time = Time(1_000_000);
 
@@ -37,7 +37,13 @@
     let job: JobId = "wk-1".parse().expect("an id");
     let report = |seq: u64| {
         let machine = MachineId::from("vm-1");
-        running_task_report(&machine, Epoch(1), Seq(seq), &job.task(0), Attempt(1))
+        running_task_report(
+            &machine,
+            FencingToken(1),
+            Seq(seq),
+            &job.task(0),
+            Attempt(1),
+        )
     };
     let mut progress = RecoveryProgress::default();
     for seq in [1, 3, 2] {
--- a/crates/core/src/leadership/election.rs
+++ b/crates/core/src/leadership/election.rs
@@ -1,10 +1,10 @@
 //! The leader election, and how agents keep their leases while the store does not answer.
 //!
-//! # The leader's lease and the fencing token
+//! # The leader's lease and the fencing tokens
 //!
-//! The leader key is attached to a lease of the store. The commit that sets the key bumps the epoch, which is the
-//! fencing token that agents see. A leader acts only while its lease is surely alive by its own clock, counted from the
-//! *sending* of the renewal.
+//! The leader key is attached to a lease of the store. The commit that sets the key bumps the epoch, which reserves the
+//! fencing tokens that agents see ([`super::fencing_tokens`]). A leader acts only while its lease is surely alive by its
+//! own clock, counted from the *sending* of the renewal.
 //!
 //! # Lease votes, in an outage of the store
 //!
@@ -20,9 +20,9 @@
 //! - It does not campaign until its last vote has expired.
 //!
 //! If the process of the leader ends in an outage, no node can be elected. Then any node may stand in for the leader:
-//! it answers agents with the same token, without commands, so that their leases are renewed. It needs the same votes,
-//! and nodes grant them only if they have received no heartbeat of the leader for [`LEADER_SILENCE_TIMEOUT`]. A leader
-//! whose heartbeats are acknowledged by a majority all the time, with gaps shorter than that timeout, knows that no
+//! it answers agents with the highest token of the epoch, without commands, so that their leases are renewed. It needs
+//! the same votes, and nodes grant them only if they have received no heartbeat of the leader for
+//! [`LEADER_SILENCE_TIMEOUT`]. A leader whose heartbeats are acknowledged by a majority all the time, with gaps shorter than that timeout, knows that no
 //! node stands in for it; otherwise it does not conclude from its own answers alone that an agent's lease has expired.
 //!
 //! # When older leaders are fenced
--- a/crates/core/src/leadership/election/campaign.rs
+++ b/crates/core/src/leadership/election/campaign.rs
@@ -10,12 +10,13 @@
     ElectionWin, LeaderKeyState, LEADER_LEASE_TTL,
 };
 use crate::io::{StoreAnswer, StoreCall, Value};
+use crate::leadership::fencing_tokens::TokenRange;
 use crate::store::records::{
     EpochRecord, LeaderKey, LeaderRecord, StoredLeader, EPOCH_KEY, LEADER_KEY,
 };
 use crate::store::transactions::condition;
 use crate::units::{Span, Time};
-use rudderreel_wire::ids::{Epoch, Version};
+use rudderreel_wire::ids::Version;
 use rudderreel_wire::state::Transaction;
 
 /// Pause after a campaign that failed, for the node of rank 0.
@@ -178,7 +179,7 @@
         let claim = Claim {
             lease,
             lease_sent: sent,
-            epoch: Epoch(self.epoch.0 + 1),
+            tokens: TokenRange::after(self.epoch),
         };
         let call = StoreCall::Commit(self.claim_commit(&claim));
         ElectionProgress::request(call, ElectionCall::Claim(claim))
@@ -187,7 +188,7 @@
     /// Returns the commit that sets the leader key and bumps the epoch. If leaders hold the gated key, the common key
     /// must still be at the version at which it was read.
     fn claim_commit(&self, claim: &Claim) -> Transaction<Value> {
-        let record = LeaderRecord::new(self.node.clone(), claim.epoch, claim.lease);
+        let record = LeaderRecord::new(self.node.clone(), claim.tokens.epoch(), claim.lease);
         let mut commit = epoch_change(
             self.campaign.key,
             &record,
@@ -232,7 +233,7 @@
     ) -> ElectionProgress {
         if let StoreAnswer::Found(item) = &answer {
             let record = LeaderRecord::deserialize_from(&item.value);
-            if record.is_some_and(|r| r.lease == claim.lease && r.epoch == claim.epoch) {
+            if record.is_some_and(|r| r.lease == claim.lease && r.epoch == claim.tokens.epoch()) {
                 return self.win(now, claim, item.version);
             }
         }
@@ -249,9 +250,9 @@
         self.campaign.state = CampaignState::Idle;
         self.vacant_since = None;
         self.renewal = lease_renewal().answered_at(now);
-        self.observe_epoch(claim.epoch, now);
+        self.observe_epoch(claim.tokens.epoch(), now);
         ElectionProgress::event(ElectionEvent::Won(ElectionWin {
-            epoch: claim.epoch,
+            tokens: claim.tokens,
             lease: claim.lease,
             lease_sent: claim.lease_sent,
             key: self.campaign.key,
--- a/crates/core/src/leadership/election/messages.rs
+++ b/crates/core/src/leadership/election/messages.rs
@@ -1,9 +1,10 @@
 //! The inputs and outputs of the election.
 
 use crate::io::StoreCall;
+use crate::leadership::fencing_tokens::TokenRange;
 use crate::store::records::{LeaderKey, StoredLeader};
 use crate::units::Time;
-use rudderreel_wire::ids::{Epoch, LeaseId, Version};
+use rudderreel_wire::ids::{LeaseId, Version};
 
 /// The state of the leader key, as this node knows it.
 #[derive(Clone, Copy, Debug)]
@@ -39,8 +40,8 @@
     pub lease: LeaseId,
     /// Time at which the call that acquired the lease was sent.
     pub lease_sent: Time,
-    /// The epoch of the new term.
-    pub epoch: Epoch,
+    /// The fencing tokens of the new term, and so its epoch.
+    pub tokens: TokenRange,
 }
 
 /// The purpose of a call of the election.
@@ -84,8 +85,8 @@
 /// The result of a campaign that a node won.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ElectionWin {
-    /// The epoch of the new term.
-    pub epoch: Epoch,
+    /// The fencing tokens of the new term, and so its epoch.
+    pub tokens: TokenRange,
     /// The lease that the leader key is attached to.
     pub lease: LeaseId,
     /// Time at which the call that acquired the lease was sent.
--- a/crates/core/src/leadership/election/tests.rs
+++ b/crates/core/src/leadership/election/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::store::records::LEADER_KEY;
+use crate::testing::token_range;
 use rudderreel_wire::ids::Version;
 use rudderreel_wire::state::{Change, Item};
 
@@ -88,7 +89,7 @@
     let claim = Claim {
         lease: LeaseId(9),
         lease_sent: now,
-        epoch: Epoch(5),
+        tokens: token_range(5, 5),
     };
     let call = ElectionCall::Claim(claim);
     let progress = node.answered(now, now, call, StoreAnswer::Unknown);
@@ -143,7 +144,7 @@
     let call = ElectionCall::VerifyClaim(Claim {
         lease: LeaseId(1),
         lease_sent: NOW,
-        epoch: Epoch(6),
+        tokens: token_range(6, 6),
     });
     let mut found = leader(6);
     if let StoreAnswer::Found(item) = &mut found {
@@ -151,7 +152,7 @@
     }
     let progress = node.answered(NOW, NOW, call, found);
     let win = ElectionWin {
-        epoch: Epoch(6),
+        tokens: token_range(6, 6),
         lease: LeaseId(1),
         lease_sent: NOW,
         key: LeaderKey::Common,
--- a/crates/core/src/leadership/term.rs
+++ b/crates/core/src/leadership/term.rs
@@ -1,8 +1,8 @@
-//! A leader's term: its lease, its fencing token, and the acknowledgements and lease votes of the other nodes.
+//! A leader's term: its lease, its fencing tokens, and the acknowledgements and lease votes of the other nodes.
 //!
 //! Every write of a leader depends on the version of the leader key ([`Term::key_condition`]), so a leader that was
-//! replaced, or whose epoch was bumped by another node, can't write any more. The epoch is the fencing token that
-//! agents see: they drop commands with an epoch lower than the highest that they have seen.
+//! replaced, or whose epoch was bumped by another node, can't write any more. Each epoch stands for a range of fencing
+//! tokens ([`Term::tokens`]): agents drop commands with a token lower than the highest that they have seen.
 //!
 //! A leader acts by its lease only while its cache of the store is as fresh as the lease ([`Term::may_act_until`]): the
 //! right to act must not outlast the knowledge that it is used with.
@@ -13,6 +13,7 @@
 use super::election::{
     epoch_change, ElectionWin, ACKNOWLEDGEMENT_TTL, LEADER_LEASE_TTL, LEASE_VOTE_TTL,
 };
+use super::fencing_tokens::TokenRange;
 use super::quorum::QuorumTracker;
 use super::version_gate::VersionGateStep;
 use crate::io::Value;
@@ -29,7 +30,7 @@
 /// ([`Span::with_drift`]).
 const LEASE_MARGIN_DIVISOR: u64 = 500;
 
-/// The state of epoch bumps. A bumped epoch proves that nothing sent under the old epoch will be carried out any more.
+/// The state of epoch bumps, which reserve more fencing tokens for the term.
 #[derive(Clone, Copy, Debug)]
 struct EpochBump {
     /// Time of the last epoch bump or attempt to bump the epoch.
@@ -40,7 +41,8 @@
 
 /// A leader's term.
 pub struct Term {
-    epoch: Epoch,
+    /// The fencing tokens that only this term has. The highest of them is its epoch.
+    tokens: TokenRange,
     lease_id: LeaseId,
     /// Time until which the lease is surely alive.
     lease_until: Time,
@@ -68,7 +70,7 @@
     /// Returns the term of a node that has just won an election.
     pub fn new(win: ElectionWin, now: Time) -> Self {
         Self {
-            epoch: win.epoch,
+            tokens: win.tokens,
             lease_id: win.lease,
             lease_until: lease_alive_until(win.lease_sent),
             cache: CacheConfirmation::default(),
@@ -89,9 +91,14 @@
         }
     }
 
-    /// Returns the epoch, which is the fencing token.
+    /// Returns the epoch.
     pub fn epoch(&self) -> Epoch {
-        self.epoch
+        self.tokens.epoch()
+    }
+
+    /// Returns the fencing tokens that only this term has.
+    pub fn tokens(&self) -> TokenRange {
+        self.tokens
     }
 
     /// Returns the lease that the leader key is attached to. It distinguishes this term from others of the same node:
@@ -117,7 +124,7 @@
 
     /// Returns the leader's record, as its key holds it.
     pub fn record(&self, node: &NodeName) -> LeaderRecord {
-        LeaderRecord::new(node.clone(), self.epoch, self.lease_id)
+        LeaderRecord::new(node.clone(), self.epoch(), self.lease_id)
     }
 
     /// Returns whether a commit that changes the key on which every write depends may be in flight, so that writes may
@@ -142,7 +149,8 @@
         let cache = self.cache.log_fields(now);
         format!(
             "epoch={} lease_left_ms={} {cache}",
-            self.epoch, lease_left.0
+            self.epoch(),
+            lease_left.0
         )
     }
 
@@ -226,7 +234,7 @@
             last_at: now,
             in_progress: true,
         };
-        Epoch(self.epoch.0 + 1)
+        TokenRange::after(self.epoch()).epoch()
     }
 
     /// Returns the commit that bumps the epoch.
@@ -237,7 +245,7 @@
 
     /// Records that the commit that bumps the epoch was carried out.
     pub fn epoch_bumped(&mut self, epoch: Epoch, version: Version, now: Time) {
-        self.epoch = epoch;
+        self.tokens = self.tokens.extended_to(epoch);
         self.key_version = version;
         self.epoch_version = version;
         self.epoch_bump = EpochBump {
@@ -272,13 +280,13 @@
     /// attempt.
     pub fn next_attempt(&mut self) -> Attempt {
         self.attempts += 1;
-        Attempt((self.epoch.0 << SEQUENCE_NUMBER_BITS) + self.attempts)
+        Attempt((self.epoch().0 << SEQUENCE_NUMBER_BITS) + self.attempts)
     }
 
     /// Returns the id of the next segment of the placement log, which is never assigned twice either.
     pub fn next_segment(&mut self) -> SegmentId {
         self.segments += 1;
-        SegmentId((self.epoch.0 << SEQUENCE_NUMBER_BITS) + self.segments)
+        SegmentId((self.epoch().0 << SEQUENCE_NUMBER_BITS) + self.segments)
     }
 
     /// Sets the time at which the node was elected.
--- a/crates/core/src/leadership/term/tests.rs
+++ b/crates/core/src/leadership/term/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::leadership::fencing_tokens::TOKENS_PER_EPOCH;
+use crate::testing::token_range;
 
 const NOW: Time = Time(1_000_000);
 const NODES: usize = 3;
@@ -6,7 +8,7 @@
 
 fn term() -> Term {
     let win = ElectionWin {
-        epoch: Epoch(4),
+        tokens: token_range(4, 4),
         lease: LeaseId(1),
         lease_sent: NOW,
         key: LeaderKey::Common,
@@ -81,11 +83,12 @@
 fn an_epoch_bump_changes_the_condition_of_every_write() {
     let mut term = term();
     let epoch = term.begin_epoch_bump(NOW);
-    assert_eq!(epoch, Epoch(5));
+    assert_eq!(epoch, Epoch(4 + TOKENS_PER_EPOCH));
     assert!(term.is_bumping_epoch() && term.is_key_changing());
     assert_eq!(term.epoch(), Epoch(4), "the bump is not committed yet");
     term.epoch_bumped(epoch, Version(9), NOW);
-    assert_eq!(term.epoch(), Epoch(5));
+    assert_eq!(term.epoch(), epoch);
+    assert_eq!(term.tokens(), token_range(4, epoch.0));
     assert_eq!(term.key_condition().version, Version(9));
     assert!(!term.is_key_changing());
 }
--- a/crates/core/src/node/direct_calls.rs
+++ b/crates/core/src/node/direct_calls.rs
@@ -28,10 +28,9 @@
         if !(leader.term).may_answer_agents(now.time, store_reachable, majority) {
             return self.refuse(req, Refusal::LeadershipUncertain);
         }
-        let Some(commands) = leader.answer_report(report, &self.job_cache, now) else {
+        let Some(reply) = leader.answer_report(report, &self.job_cache, now) else {
             return self.refuse(req, Refusal::NotEntitled);
         };
-        let token = leader.term.epoch();
         if log::log_enabled!(log::Level::Debug) {
             let by_lease = leader.term.may_act(now.time);
             let term_fields = leader.term.log_fields(now.time);
@@ -40,24 +39,25 @@
                 report.machine
             );
         }
-        if commands.is_empty() {
+        if reply.commands.is_empty() {
             if let Some(peer) = self.peer_for_report(&report.machine, now.time) {
                 return self.redirect_agent(req, Some(peer));
             }
         }
-        self.answer(req, 200, json(&StatusReportReply { token, commands }));
+        self.answer(req, 200, json(&reply));
     }
 
     /// Answers a report on a node that neither leads nor has forwarded the report.
     fn answer_report_without_leader(&mut self, req: ReqId, report: &StatusReport, now: Now) {
-        let epoch = self.election.epoch();
-        if self.election.stands_in_for_leader(now.time) && report.token <= epoch {
+        // The highest token of the leader's epoch, since this node does not know which tokens the leader has used.
+        let token = self.election.epoch().highest_token();
+        if self.election.stands_in_for_leader(now.time) && report.token <= token {
             log::debug!(
-                "report answered for the leader machine={} epoch={epoch}",
+                "report answered for the leader machine={} token={token}",
                 report.machine
             );
             let reply = StatusReportReply {
-                token: epoch,
+                token,
                 commands: self.job_cache.stops_for_cancelled_tasks(report),
             };
             return self.answer(req, 200, json(&reply));
@@ -87,8 +87,8 @@
     }
 
     /// Requests a status report from an agent that has missed one or is suspect.
-    pub(crate) fn probe(&mut self, id: &MachineId) {
-        let call = self.leader.as_mut().and_then(|leader| leader.probe(id));
+    pub(crate) fn probe(&mut self, id: &MachineId, now: Time) {
+        let call = (self.leader.as_mut()).and_then(|leader| leader.probe(id, now));
         if let Some(call) = call {
             self.send_direct_call(call);
         }
--- a/crates/core/src/node/election.rs
+++ b/crates/core/src/node/election.rs
@@ -99,7 +99,7 @@
     fn become_leader(&mut self, win: ElectionWin, now: Now) {
         log::info!(
             "became leader epoch={} lease={} {}",
-            win.epoch,
+            win.tokens.epoch(),
             win.lease.0,
             self.job_cache.confirmation().log_fields(now.time)
         );
--- a/crates/core/src/node/epoch_bump.rs
+++ b/crates/core/src/node/epoch_bump.rs
@@ -1,10 +1,10 @@
-//! Bumps the epoch, the fencing token. A command that was sent under the old epoch and has not arrived will never be
-//! carried out, since agents refuse a token older than the highest that they know.
+//! Bumps the epoch, which reserves more fencing tokens for the term.
 //!
-//! A leader bumps its epoch if nothing else can show that a start which it sent will not be carried out any more. The
-//! commit rewrites the leader key and the epoch's key together. While it is open no other commit is made, since every
-//! write depends on the version of the leader key. If its outcome is unknown, the leader key is read until it shows
-//! the new epoch; if the key shows anything else, the commit may still be carried out, and the leader steps down.
+//! A leader raises the token of an agent so that nothing which it sent before is carried out any more. It bumps its
+//! epoch once an agent has seen the highest token of the term. The commit rewrites the leader key and the epoch's key
+//! together. While it is open no other commit is made, since every write depends on the version of the leader key. If
+//! its outcome is unknown, the leader key is read until it shows the new epoch; if the key shows anything else, the
+//! commit may still be carried out, and the leader steps down.
 
 use crate::io::{StoreAnswer, StoreCall};
 use crate::leadership::step_down_reason::StepDownReason;
@@ -15,7 +15,7 @@
 use rudderreel_wire::ids::{Epoch, Version};
 
 impl Node {
-    /// Bumps the epoch if nothing else shows that a start will not arrive any more.
+    /// Bumps the epoch if an agent needs a higher token than the term has.
     pub(super) fn bump_epoch_if_needed(&mut self, now: Now) {
         let is_needed = (self.leader.as_ref()).is_some_and(|leader| {
             leader.recovery.is_complete()
--- a/crates/core/src/node/leader_tick.rs
+++ b/crates/core/src/node/leader_tick.rs
@@ -115,7 +115,7 @@
         let overdue = leader.machines_to_probe(now.time);
         self.push_starts(&waiting, now);
         for id in overdue {
-            self.probe(&id);
+            self.probe(&id, now.time);
         }
     }
 }
--- a/crates/core/src/node/report_forwarding.rs
+++ b/crates/core/src/node/report_forwarding.rs
@@ -150,8 +150,8 @@
         match self.forwarding.batch_answered(call, reply, now.time) {
             None => {}
             Some(BatchResult::Unanswered(held)) => self.refuse_held(held),
-            Some(BatchResult::Answered { epoch, answers }) => {
-                self.election.observe_epoch(epoch, now.time);
+            Some(BatchResult::Answered { token, answers }) => {
+                self.election.observe_epoch(token.lowest_epoch(), now.time);
                 for answer in answers {
                     match answer.body {
                         Some(body) => {
@@ -191,7 +191,7 @@
             .map(|report| leader.apply_forwarded_report(report, &self.job_cache, now))
             .collect();
         ForwardedReportsReply {
-            token: Some(leader.term.epoch()),
+            token: Some(leader.term.tokens().first),
             answers,
         }
     }
--- a/crates/core/src/node/report_forwarding/tests.rs
+++ b/crates/core/src/node/report_forwarding/tests.rs
@@ -1,15 +1,20 @@
 use super::*;
 use crate::agents::report_forwarding::MAX_REPORT_WAIT;
 use crate::testing::NOW;
-use rudderreel_wire::ids::{Attempt, Epoch, JobId, Seq, Version};
+use rudderreel_wire::ids::{Attempt, Epoch, FencingToken, JobId, Seq, Version};
 use rudderreel_wire::peer::{CancelledJob, ForwardedAnswer, MAX_MESSAGE_BYTES};
 use rudderreel_wire::worker::{Command, StatusReportReply, TaskStatus};
 
 fn report(n: usize, tasks: usize) -> StatusReport {
     let machine = MachineId::from(format!("vm-{n:06}").as_str());
     let job: JobId = format!("wk-{n:06}").parse().expect("an id");
-    let mut report =
-        crate::testing::running_task_report(&machine, Epoch(1), Seq(1), &job.task(0), Attempt(1));
+    let mut report = crate::testing::running_task_report(
+        &machine,
+        FencingToken(1),
+        Seq(1),
+        &job.task(0),
+        Attempt(1),
+    );
     report.tasks = (0..tasks as u32)
         .map(|index| TaskStatus {
             task: job.task(index),
@@ -36,7 +41,7 @@
 /// Answers a forwarded batch as the leader does; returns how many agents are answered.
 fn answer_batch(node: &mut Node, call: CallId, reports: usize, now: Now) -> usize {
     let reply = ForwardedReportsReply {
-        token: Some(Epoch(1)),
+        token: Some(FencingToken(1)),
         answers: vec![ForwardedAnswer::Answered(None); reports],
     };
     node.forwarded_reports_answered(call, Some(reply), now);
@@ -75,12 +80,12 @@
         attempt: Attempt(1),
     };
     let reply = |commands| StatusReportReply {
-        token: Epoch(1),
+        token: FencingToken(1),
         commands,
     };
     let answer = json(&reply(vec![start(&cancelled), start(&other)]));
     let answers = ForwardedReportsReply {
-        token: Some(Epoch(1)),
+        token: Some(FencingToken(1)),
         answers: vec![ForwardedAnswer::Answered(Some(answer))],
     };
     node.forwarded_reports_answered(call, Some(answers), NOW);
--- a/crates/core/src/scheduling/snapshot/mod.rs
+++ b/crates/core/src/scheduling/snapshot/mod.rs
@@ -68,7 +68,7 @@
     let is_leaving = machine.reclaim_at.is_some()
         || machine.retire_reason.is_some()
         || machine.return_requested_at.is_some();
-    machine.is_reconciled(leader.term.epoch())
+    machine.is_reconciled(leader.term.tokens())
         && was_heard_recently
         && !leader.fleet.partitioned_zones.contains(&machine.zone)
         && answers_calls
--- a/crates/core/src/store/records/leaders.rs
+++ b/crates/core/src/store/records/leaders.rs
@@ -42,7 +42,7 @@
 pub struct LeaderRecord {
     /// The node that leads.
     pub node: NodeName,
-    /// The leader's epoch, which is its fencing token.
+    /// The leader's epoch, which is its highest fencing token.
     pub epoch: Epoch,
     /// The lease with whose end the key is deleted.
     pub lease: LeaseId,
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -4,12 +4,15 @@
 use crate::jobs::job::Job;
 use crate::leader::Leader;
 use crate::leadership::election::ElectionWin;
+use crate::leadership::fencing_tokens::TokenRange;
 use crate::node::Node;
 use crate::store::confirmation::CacheConfirmation;
 use crate::store::records::LeaderKey;
 use crate::teams::team_tree::TeamTree;
 use crate::units::{Now, Time, Wall};
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, LeaseId, MachineId, Seq, TaskId, Version};
+use rudderreel_wire::ids::{
+    Attempt, FencingToken, Incarnation, LeaseId, MachineId, Seq, TaskId, Version,
+};
 use rudderreel_wire::settings::Settings;
 use rudderreel_wire::worker::{StatusReport, TaskState, TaskStatus};
 
@@ -65,12 +68,20 @@
     Node::new(settings())
 }
 
+/// Returns the fencing tokens from `first` to `last`.
+pub fn token_range(first: u64, last: u64) -> TokenRange {
+    TokenRange {
+        first: FencingToken(first),
+        last: FencingToken(last),
+    }
+}
+
 /// Returns a leader with two teams, one machine type of 4 CPUs in two zones, and nothing else.
 pub fn leader() -> Leader {
     let settings = Settings::parse(SETTINGS).expect("settings");
     let tree = TeamTree::from_limits(&settings.params.teams);
     let win = ElectionWin {
-        epoch: Epoch(1),
+        tokens: token_range(1, 100),
         lease: LeaseId(1),
         lease_sent: NOW.time,
         key: LeaderKey::Common,
@@ -100,7 +111,7 @@
         known_since: NOW.wall,
     });
     machine.last_heard_at = Some(NOW.time);
-    machine.acknowledged_epoch = leader.term.epoch();
+    machine.acknowledged_token = leader.term.tokens().first;
     machine.addr = Some("10.0.0.1:1".into());
     let id = machine.id.clone();
     leader.fleet.machines.insert(id.clone(), machine);
@@ -145,7 +156,7 @@
 /// Returns a status report of a machine on which one task is running.
 pub fn running_task_report(
     machine: &MachineId,
-    token: Epoch,
+    token: FencingToken,
     seq: Seq,
     task: &TaskId,
     attempt: Attempt,
--- a/crates/core/tests/sim/copied_messages.rs
+++ b/crates/core/tests/sim/copied_messages.rs
@@ -4,6 +4,8 @@
 use super::cancellations_in_outages::{replicas, run_until_jobs_are_running};
 use super::run_with_random_faults;
 use super::world::{Scenario, UserAction, World};
+use rudderreel_core::AdminRequest;
+use rudderreel_wire::admin::Versioned;
 use rudderreel_wire::ids::JobId;
 use rudderreel_wire::job::{JobSpec, JobState, Kind, Priority};
 
@@ -11,6 +13,8 @@
 const SETTLED_WITHIN_MS: u64 = 20_000;
 /// Time after a copy by which its effect is over or known to the leader.
 const EFFECT_WITHIN_MS: u64 = 30_000;
+/// Time for which idle machines are kept, in seconds.
+const KEEP_IDLE_S: f64 = 600.0;
 /// Number of nodes, and whether reports are forwarded.
 const CLUSTERS: [(usize, bool); 3] = [(3, false), (5, false), (5, true)];
 
@@ -47,6 +51,15 @@
     }
 }
 
+/// Keeps idle machines, so that copies of calls find their agents.
+fn keep_idle_machines(world: &mut World) {
+    let (_, present) = world.admin(0, AdminRequest::Settings);
+    let mut replacement: Versioned = serde_json::from_value(present).expect("settings");
+    replacement.settings.keep_idle_s = KEEP_IDLE_S;
+    let request = AdminRequest::ReplaceSettings(Box::new(replacement));
+    assert_eq!(world.admin(0, request).0, 200);
+}
+
 /// Runs the world until a condition holds. The world stops within milliseconds of that.
 fn run_until_holds(world: &mut World, holds: impl Fn(&World) -> bool) {
     let latest = world.now + SETTLED_WITHIN_MS;
@@ -94,6 +107,7 @@
         for (n, interlude) in INTERLUDES.into_iter().enumerate() {
             println!("{nodes} nodes, {spread}, {interlude:?}");
             let (mut world, ids, _) = run_until_jobs_are_running(1_700 + n as u64, nodes, spread);
+            keep_idle_machines(&mut world);
             let id = &ids[0];
             world.user_asks(0, id, UserAction::Cancel);
             run_until_holds(&mut world, |world| {
@@ -112,6 +126,7 @@
         for (n, interlude) in INTERLUDES.into_iter().enumerate() {
             println!("{nodes} nodes, {spread}, {interlude:?}");
             let (mut world, _, _) = run_until_jobs_are_running(1_710 + n as u64, nodes, spread);
+            keep_idle_machines(&mut world);
             let id = submit(&mut world, array(9, 2, Priority::Normal));
             run_until_holds(&mut world, |world| {
                 world.results.get(&id).is_some_and(|done| done.len() == 2)
@@ -144,6 +159,7 @@
     };
     let mut world = World::with_scenario(seed, scenario);
     world.run_until(16_000);
+    keep_idle_machines(&mut world);
     let other = submit(&mut world, long(array(1, 4, Priority::Normal)));
     run_until_holds(&mut world, |world| world.on_machines(&other) == 4);
     let evicted = submit(&mut world, long(array(2, 8, Priority::Low)));
--- a/crates/core/tests/sim/one_way_machines_and_cut_nodes.rs
+++ b/crates/core/tests/sim/one_way_machines_and_cut_nodes.rs
@@ -4,7 +4,7 @@
 use super::world::{Fault, Scenario, World};
 use super::{run_with_random_faults, unfinished};
 use rudderreel_core::{Input, Node, Output, StoreAnswer, StoreCall};
-use rudderreel_wire::ids::{Epoch, Incarnation, JobId, MachineId, Seq, Version};
+use rudderreel_wire::ids::{FencingToken, Incarnation, JobId, MachineId, Seq, Version};
 use rudderreel_wire::job::Kind;
 use rudderreel_wire::state::Page;
 use rudderreel_wire::worker::{StatusReport, TaskState, TaskStatus};
@@ -211,7 +211,7 @@
         spot: false,
         incarnation: Incarnation(incarnation),
         seq: Seq(seq),
-        token: Epoch(1),
+        token: FencingToken(1),
         reclaim_in_s: None,
         tasks: Vec::new(),
     }
@@ -231,7 +231,7 @@
     unknown_type_and_zone.machine_type = "m-none".into();
     unknown_type_and_zone.zone = "nowhere".into();
     let mut unknown_token = report(&known, 900, 1);
-    unknown_token.token = Epoch(1 << 60);
+    unknown_token.token = FencingToken(1 << 60);
     let mut unknown_tasks = report(&MachineId::from("vm-999998"), 1, 1);
     unknown_tasks.tasks = vec![TaskStatus {
         task: unknown_job.task(7),
--- a/crates/core/tests/sim/world/agent.rs
+++ b/crates/core/tests/sim/world/agent.rs
@@ -2,7 +2,9 @@
 
 use super::ObservedJob;
 use rudderreel_wire::cloud::ScaleOutRequest;
-use rudderreel_wire::ids::{Attempt, Epoch, Incarnation, JobId, MachineId, Seq, TaskId, TypeName};
+use rudderreel_wire::ids::{
+    Attempt, FencingToken, Incarnation, JobId, MachineId, Seq, TaskId, TypeName,
+};
 use rudderreel_wire::job::Kind;
 use rudderreel_wire::worker::{Cause, Command, StatusReport, TaskState, TaskStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,8 +48,8 @@
     scale_out: ScaleOutRequest,
     pub incarnation: Incarnation,
     seq: u64,
-    /// Highest epoch in an answer or a command that the agent has accepted.
-    pub token: Epoch,
+    /// Highest fencing token in an answer or a command that the agent has accepted.
+    pub token: FencingToken,
     /// Start of the lease: when the latest answered report was sent, or when the agent was created or its lease
     /// expired if no report has been answered since.
     pub lease_start: u64,
@@ -79,7 +81,7 @@
             scale_out,
             incarnation: Incarnation(1),
             seq: 0,
-            token: Epoch(0),
+            token: FencingToken(0),
             lease_start: now,
             tasks: BTreeMap::new(),
             node: 0,
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -175,10 +175,33 @@
     };
 }
 number_id!(
-    /// A leader's epoch. It is the fencing token of the leader's commands: an agent that has seen an epoch ignores
-    /// commands of lower ones.
+    /// Number of a leadership: the highest fencing token that is reserved for it. Each leader raises it in the store.
     Epoch
 );
+number_id!(
+    /// Fencing token of commands and answers for an agent. An agent that has seen a token refuses lower ones.
+    FencingToken
+);
+
+impl Epoch {
+    /// Returns the highest fencing token of the epoch, which an agent accepts whatever it has seen of the epoch.
+    pub fn highest_token(self) -> FencingToken {
+        FencingToken(self.0)
+    }
+}
+
+impl FencingToken {
+    /// Returns the lowest epoch that the token may belong to.
+    pub fn lowest_epoch(self) -> Epoch {
+        Epoch(self.0)
+    }
+
+    /// Returns the next higher token.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 number_id!(
     /// Number of an attempt to run a task, which distinguishes its starts. The tasks of a gang share one number.
     Attempt
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,7 +4,7 @@
 //! nodes of this version exchange messages with nodes of the previous version. So fields must never be moved or
 //! removed.
 
-use crate::ids::{Epoch, Version};
+use crate::ids::{Epoch, FencingToken, Version};
 use crate::job::{JobSpec, DEPENDENCIES};
 use bitcode::{Decode, Encode};
 use serde_json::{json, Value};
@@ -229,8 +229,8 @@
 /// The leader's reply to forwarded status reports.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct ForwardedReportsReply {
-    /// The fencing token, if the answering node leads and may answer agents.
-    pub token: Option<Epoch>,
+    /// The fencing token of the answers without commands, if the answering node leads and may answer agents.
+    pub token: Option<FencingToken>,
     /// The answers, in the order of the reports.
     pub answers: Vec<ForwardedAnswer>,
 }
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -1,10 +1,12 @@
 //! Status reports of agents, and commands for them.
 //!
 //! An agent is the process that runs tasks on a machine. It sends status reports, whose answers carry commands, and
-//! accepts direct commands at its own address. All commands carry the leader's fencing token; an agent refuses commands
+//! accepts direct commands at its own address. All commands carry a fencing token of the leader; an agent refuses those
 //! whose token is lower than the highest that it has seen.
 
-use crate::ids::{Attempt, Epoch, Incarnation, MachineId, NodeName, Seq, TaskId, TypeName, Zone};
+use crate::ids::{
+    Attempt, FencingToken, Incarnation, MachineId, NodeName, Seq, TaskId, TypeName, Zone,
+};
 use serde::{Deserialize, Serialize};
 
 /// The state of a task on its machine.
@@ -101,7 +103,7 @@
     pub seq: Seq,
     /// Highest fencing token that the agent has seen.
     #[serde(rename = "helm", default)]
-    pub token: Epoch,
+    pub token: FencingToken,
     /// Seconds until the cloud reclaims the machine; `None` if the cloud has announced no reclaim.
     #[serde(rename = "recallS", default)]
     pub reclaim_in_s: Option<f64>,
@@ -150,11 +152,11 @@
 }
 
 /// The answer to a status report.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StatusReportReply {
     /// The leader's fencing token.
     #[serde(rename = "helm")]
-    pub token: Epoch,
+    pub token: FencingToken,
     /// Commands for the agent.
     #[serde(rename = "orders")]
     pub commands: Vec<Command>,
@@ -173,7 +175,7 @@
 pub struct DirectCommands {
     /// The leader's fencing token.
     #[serde(rename = "helm")]
-    pub token: Epoch,
+    pub token: FencingToken,
     /// The incarnation of the agent that the commands are for.
     #[serde(rename = "watch")]
     pub incarnation: Incarnation,
--- a/crates/wire/tests/peer_compatibility.rs
+++ b/crates/wire/tests/peer_compatibility.rs
@@ -3,7 +3,7 @@
 //! own, which older nodes answer with 404.
 
 use bitcode::{Decode, Encode};
-use rudderreel_wire::ids::{Epoch, Version};
+use rudderreel_wire::ids::{Epoch, FencingToken, Version};
 use rudderreel_wire::job::JobSpec;
 use rudderreel_wire::peer::{
     CancelledJob, Catchup, Count, Forward, ForwardReply, ForwardedAnswer, ForwardedReport,
@@ -151,7 +151,7 @@
     };
     assert_encoding(&reports, "020909766d2d303030323331766d2d3030303233310601010658580629290300000000000080334000000000008033400206570c7b2274616b6573223a5b5d7d");
     let reply = ForwardedReportsReply {
-        token: Some(Epoch(41)),
+        token: Some(FencingToken(41)),
         answers: vec![
             ForwardedAnswer::Answered(Some("[]".into())),
             ForwardedAnswer::Answered(None),
