Stop a task that is on its machine again after its end, and cancelled ones always

What callers saw: the task of the cancelled job that a copied call had started ran on for 53 s, although its machine reported it every 2 s and every node knew of the cancellation.

Cause: the leader passes over the status of an attempt whose exit it knows, and answered only with what it had recorded: "forget", which a running task ignores. Stops of cancelled tasks went into answers to old reports and into those of nodes that had not read the state back, not into the ordinary ones.

Fix: an attempt that a newer report shows in any state but exited after its exit was known is on its machine: it takes room, counts as placed there (so its task is not started elsewhere, and zone rules and the team's limit include it), is recorded anew and is stopped at once. Each answer of the leader, whatever its records of the machine say, and each answer that another node passes on, carries the stops of all tasks that the report lists and whose jobs the node knows to be cancelled; they take the place of softer commands for these tasks.

--- a/crates/core/src/agents/reconciliation.rs
+++ b/crates/core/src/agents/reconciliation.rs
@@ -61,7 +61,9 @@
             // running.
             return job_cache.stops_for_cancelled_tasks(report);
         }
-        self.answer_commands(&report.machine, now.time)
+        let mut commands = self.answer_commands(&report.machine, now.time);
+        job_cache.add_stops_for_cancelled_tasks(report, &mut commands);
+        commands
     }
 
     /// Returns the fencing token of the answer to a report. The agent may have seen a higher one than the leader has
--- a/crates/core/src/agents/report_forwarding.rs
+++ b/crates/core/src/agents/report_forwarding.rs
@@ -93,6 +93,8 @@
 pub(crate) struct AgentAnswer {
     /// Request of the agent.
     pub(crate) req: ReqId,
+    /// The agent's report.
+    pub(crate) report: StatusReport,
     /// Body of the answer; none if the leader refuses to answer.
     pub(crate) body: Option<String>,
 }
@@ -244,10 +246,9 @@
         token: FencingToken,
         now: Time,
     ) -> Option<AgentAnswer> {
-        let req = held.req;
         let body = match answer {
             ForwardedAnswer::Answered(commands) => {
-                self.remember_applied(held);
+                self.remember_applied(&held);
                 Some(commands.unwrap_or_else(|| no_commands(token)))
             }
             ForwardedAnswer::Whole if !held.must_be_whole => {
@@ -258,20 +259,24 @@
             }
             ForwardedAnswer::Whole | ForwardedAnswer::Refused => None,
         };
-        Some(AgentAnswer { req, body })
+        Some(AgentAnswer {
+            req: held.req,
+            report: held.report,
+            body,
+        })
     }
 
     /// Records that the leader has applied a report. The recorded list stays the last one that was forwarded whole.
-    fn remember_applied(&mut self, held: HeldReport) {
-        let report = held.report;
+    fn remember_applied(&mut self, held: &HeldReport) {
+        let report = &held.report;
         let is_known = (self.applied.get(&report.machine))
-            .is_some_and(|applied| applied.is_repeated_by(&report));
+            .is_some_and(|applied| applied.is_repeated_by(report));
         if !is_known || held.must_be_whole {
             let list = AppliedList {
-                message: MessageOrder::of(&report),
-                tasks: report.tasks,
+                message: MessageOrder::of(report),
+                tasks: report.tasks.clone(),
             };
-            self.applied.insert(report.machine, list);
+            self.applied.insert(report.machine.clone(), list);
         }
     }
 }
--- a/crates/core/src/agents/task_outcomes.rs
+++ b/crates/core/src/agents/task_outcomes.rs
@@ -162,7 +162,8 @@
         }
     }
 
-    /// Handles an attempt that is on its machine again although its exit was known.
+    /// Handles an attempt that is on its machine again although its exit was known. It counts as placed there, so that
+    /// its task is not started elsewhere, and its team's use includes it, until the stop has ended it.
     pub(super) fn task_reappeared(&mut self, machine: &MachineId, status: &TaskStatus) {
         self.metrics.count(REAPPEARED_COUNTER);
         log::warn!(
@@ -172,6 +173,16 @@
             status.attempt,
             status.state
         );
+        let start = self.present_start(machine);
+        let placed = (self.fleet.machines.get_mut(machine))
+            .and_then(|machine| machine.task_mut(&status.task, status.attempt));
+        if let Some(placed) = placed {
+            (placed.start_sent, placed.direct_start) = (start, Some(start));
+        }
+        if let Some(job) = self.jobs.get_mut(&status.task.job) {
+            job.place(status.task.index, machine, status.attempt);
+        }
+        self.placement_log.mark_unrecorded();
     }
 
     /// Returns the token and incarnation of a start that the agent of a machine would carry out now.
--- a/crates/core/src/cache/cancellations.rs
+++ b/crates/core/src/cache/cancellations.rs
@@ -102,22 +102,40 @@
             .collect()
     }
 
-    /// Returns another node's answer to a status report, as JSON, without the starts of jobs that this node knows to be
-    /// cancelled: it may have told their users so since the other node answered.
-    pub fn without_cancelled_starts(&self, answer: String) -> String {
-        let Ok(reply) = serde_json::from_str::<StatusReportReply>(&answer) else {
+    /// Adds to the commands of an answer the stops of all tasks of cancelled jobs that the report lists, in place of what
+    /// the commands have for these tasks.
+    pub fn add_stops_for_cancelled_tasks(
+        &self,
+        report: &StatusReport,
+        commands: &mut Vec<Command>,
+    ) {
+        let mut stops = self.stops_for_cancelled_tasks(report);
+        if stops.is_empty() {
+            return;
+        }
+        commands.retain(|command| !stops.iter().any(|stop| stop.subject() == command.subject()));
+        stops.append(commands);
+        *commands = stops;
+    }
+
+    /// Returns the leader's answer to a status report, as JSON, as this node passes it on: without the starts of jobs
+    /// that this node knows to be cancelled, and with the stops of their tasks. It may have told their users so since
+    /// the leader answered.
+    pub fn answer_to_pass_on(&self, report: &StatusReport, answer: String) -> String {
+        let Ok(mut reply) = serde_json::from_str::<StatusReportReply>(&answer) else {
             return answer;
         };
         let is_cancelled_start = |command: &Command| match command {
             Command::Start { task, .. } => self.is_cancelled(&task.job),
             Command::Stop { .. } | Command::Forget { .. } => false,
         };
-        if !reply.commands.iter().any(is_cancelled_start) {
+        let commands_of_leader = reply.commands.clone();
+        (reply.commands).retain(|command| !is_cancelled_start(command));
+        self.add_stops_for_cancelled_tasks(report, &mut reply.commands);
+        if reply.commands == commands_of_leader {
             return answer;
         }
-        let mut commands = reply.commands;
-        commands.retain(|command| !is_cancelled_start(command));
-        json(&StatusReportReply { commands, ..reply })
+        json(&reply)
     }
 }
 
--- a/crates/core/src/dispatch/commands.rs
+++ b/crates/core/src/dispatch/commands.rs
@@ -73,15 +73,13 @@
             machine.last_message.incarnation
         );
         for command in commands {
-            let (Command::Start { task, attempt }
-            | Command::Stop { task, attempt, .. }
-            | Command::Forget { task, attempt }) = command;
+            let (task, attempt) = command.subject();
             let subject = format!("job={} task={task} attempt={attempt}", task.job);
             match command {
                 Command::Start { .. } => log::debug!("start sent {subject} {sent_fields}"),
                 Command::Stop { .. } => log::debug!("stop sent {subject} {sent_fields}"),
                 Command::Forget { .. } => {
-                    let basis = (machine.task(task, *attempt))
+                    let basis = (machine.task(task, attempt))
                         .map(PlacedTask::log_fields)
                         .unwrap_or_default();
                     log::debug!("forget sent {subject} {sent_fields} {basis}");
--- a/crates/core/src/fleet/placed_task.rs
+++ b/crates/core/src/fleet/placed_task.rs
@@ -1,9 +1,9 @@
 //! A task on a machine, as far as the leader knows, and what status reports show of it.
 //!
-//! The phase of an attempt never goes back: `Planned` (decided), `Sent` (a start may be in flight or carried out),
-//! `On` (reported), `Exited` (reported as ended, or shown to be gone). The attempt occupies capacity until it is
-//! `Exited`. The entry of an exited attempt is kept until its agent may forget the attempt (see
-//! [`PlacedTask::may_forget`]).
+//! The phase of an attempt goes on: `Planned` (decided), `Sent` (a start may be in flight or carried out), `On`
+//! (reported), `Exited` (reported as ended, or shown to be gone). It goes back only if an agent that has forgotten the
+//! attempt reports it as on the machine again. The attempt occupies capacity unless it is `Exited`. The entry of an
+//! exited attempt is kept until its agent may forget the attempt (see [`PlacedTask::may_forget`]).
 
 use super::reasons::StopReason;
 use crate::leadership::fencing_tokens::TokenRange;
@@ -250,6 +250,7 @@
         self.missing_since = None;
         if self.has_exited() {
             if status.state != TaskState::Exited {
+                self.reappear(status.state, now);
                 changes.push(TaskChange::Reappeared(status.clone()));
             }
             return;
@@ -272,6 +273,16 @@
         self.phase = Phase::On(status.state);
     }
 
+    /// Returns an attempt that has exited to its machine, where it is to be stopped: it occupies capacity again. What was
+    /// recorded of it may have been deleted since.
+    fn reappear(&mut self, state: TaskState, now: Time) {
+        self.phase = Phase::On(state);
+        self.stop = Some(Stop::without_grace(StopReason::Reappeared, now));
+        self.outcome_recorded = false;
+        self.segment = SegmentId::NONE;
+        self.pending_segment = SegmentId::NONE;
+    }
+
     /// Applies that the newest report omits the task. Returns whether the entry is kept, since the task may still be on
     /// the machine, or a start may still arrive.
     pub(super) fn apply_omission(
--- a/crates/core/src/fleet/reasons.rs
+++ b/crates/core/src/fleet/reasons.rs
@@ -19,6 +19,8 @@
     GangBroken,
     /// The task was reported, but the placement log does not name it.
     NotInPlacementLog,
+    /// The task was on its machine again after its exit had been reported.
+    Reappeared,
     /// The task waited too long for the capacity that it was planned on.
     Stalled,
     /// The cloud reclaims the task's spot machine.
@@ -44,6 +46,7 @@
             Self::JobUnknown => "its job is not known",
             Self::GangBroken => "gang is broken",
             Self::NotInPlacementLog => "not in the placement log",
+            Self::Reappeared => "back after its end",
             Self::Stalled => "stalled",
             Self::MachineReclaimed => "machine is taken back",
             Self::MachineReturned => "its machine is returned",
--- a/crates/core/src/node/report_forwarding.rs
+++ b/crates/core/src/node/report_forwarding.rs
@@ -155,7 +155,7 @@
                 for answer in answers {
                     match answer.body {
                         Some(body) => {
-                            let body = self.job_cache.without_cancelled_starts(body);
+                            let body = self.job_cache.answer_to_pass_on(&answer.report, body);
                             self.answer(answer.req, 200, body);
                         }
                         None => self.refuse(answer.req, Refusal::NotEntitled),
--- a/crates/core/src/node/report_forwarding/tests.rs
+++ b/crates/core/src/node/report_forwarding/tests.rs
@@ -38,13 +38,18 @@
     node
 }
 
-/// Answers a forwarded batch as the leader does; returns how many agents are answered.
-fn answer_batch(node: &mut Node, call: CallId, reports: usize, now: Now) -> usize {
+/// Answers a forwarded batch without commands, as the leader does.
+fn answer_without_commands(node: &mut Node, call: CallId, reports: usize, now: Now) {
     let reply = ForwardedReportsReply {
         token: Some(FencingToken(1)),
         answers: vec![ForwardedAnswer::Answered(None); reports],
     };
     node.forwarded_reports_answered(call, Some(reply), now);
+}
+
+/// Answers a forwarded batch as the leader does; returns how many agents are answered.
+fn answer_batch(node: &mut Node, call: CallId, reports: usize, now: Now) -> usize {
+    answer_without_commands(node, call, reports, now);
     node.out.drain(..).count()
 }
 
@@ -68,13 +73,7 @@
     let call = forward_one(&mut node);
     let cancelled: JobId = "wk-000007".parse().expect("an id");
     let other: JobId = "wk-000008".parse().expect("an id");
-    node.job_cache.update_cancelled(&CancelledJob {
-        job: cancelled.to_string(),
-        version: Version(20),
-        cancelled_ms: NOW.wall.0,
-        submitted_ms: NOW.wall.0,
-        tasks: 1,
-    });
+    node.job_cache.update_cancelled(&cancellation(&cancelled));
     let start = |job: &JobId| Command::Start {
         task: job.task(0),
         attempt: Attempt(1),
@@ -95,6 +94,40 @@
     assert_eq!((status, body), (200, json(&reply(vec![start(&other)]))));
 }
 
+/// Returns the cancellation of a job that has just become known.
+fn cancellation(job: &JobId) -> CancelledJob {
+    CancelledJob {
+        job: job.to_string(),
+        version: Version(20),
+        cancelled_ms: NOW.wall.0,
+        submitted_ms: NOW.wall.0,
+        tasks: 1,
+    }
+}
+
+/// The answer renews the agent's lease, and the leader may have taken the task for gone.
+#[test]
+fn an_answer_that_is_passed_on_stops_tasks_of_jobs_that_are_known_to_be_cancelled() {
+    let mut node = follower();
+    let call = forward_one(&mut node);
+    let task = report(1, 1).tasks[0].clone();
+    node.job_cache
+        .update_cancelled(&cancellation(&task.task.job));
+    answer_without_commands(&mut node, call, 1, NOW);
+    let Some(Output::Answer { status, body, .. }) = node.out.drain(..).next() else {
+        panic!("an answer is expected");
+    };
+    let reply = StatusReportReply {
+        token: FencingToken(1),
+        commands: vec![Command::Stop {
+            task: task.task,
+            attempt: task.attempt,
+            grace_s: 0.0,
+        }],
+    };
+    assert_eq!((status, body), (200, json(&reply)));
+}
+
 /// When four of five nodes fail, all agents of a fleet of 4,000 or 6,000 report to the remaining node at once. A queue
 /// of a thousand reports made it refuse the others, whose agents then tried other nodes without success. All reports
 /// must be forwarded, in messages that the leader accepts, and only those that would be answered too late are refused.
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -151,6 +151,17 @@
     },
 }
 
+impl Command {
+    /// Returns the task and the attempt that the command is for.
+    pub fn subject(&self) -> (&TaskId, Attempt) {
+        match self {
+            Self::Start { task, attempt }
+            | Self::Stop { task, attempt, .. }
+            | Self::Forget { task, attempt } => (task, *attempt),
+        }
+    }
+}
+
 /// The answer to a status report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StatusReportReply {
