Copy carried-out calls to the agents of the loopback tests, after each forget

The stand-ins for agents on loopback let each direct call arrive once more as soon as they have forgotten a task that it started.

--- a/crates/controller/tests/loopback/agents.rs
+++ b/crates/controller/tests/loopback/agents.rs
@@ -11,7 +11,7 @@
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tiny_http::{Response, Server};
@@ -37,6 +37,17 @@
     pub controllers: Mutex<Vec<(String, SocketAddr)>>,
     /// Time that each task runs.
     pub task_duration: Duration,
+    pub copied_calls: CopiedCalls,
+}
+
+/// Copies of direct calls that an agent had carried out and answered. Each arrives once more as soon as the agent has
+/// forgotten an attempt that the call started.
+#[derive(Default)]
+pub struct CopiedCalls {
+    /// Number of copies that have arrived.
+    pub arrived: AtomicUsize,
+    /// Number of tasks that were started by copies.
+    pub started: AtomicUsize,
 }
 
 /// A task on a machine.
@@ -55,6 +66,8 @@
     /// answered since.
     lease_start: Instant,
     tasks: BTreeMap<(TaskId, Attempt), Task>,
+    /// Direct calls with starts of tasks that the agent has not forgotten yet.
+    executed_calls: Vec<DirectCommands>,
 }
 
 /// An agent, which runs on its own threads until its machine is terminated.
@@ -78,6 +91,7 @@
             token: FencingToken(0),
             lease_start: Instant::now(),
             tasks: BTreeMap::new(),
+            executed_calls: Vec::new(),
         };
         let agent = Arc::new(Self {
             id,
@@ -214,6 +228,37 @@
         self.record(Change::Started, task, now);
     }
 
+    /// Carries out a direct call if its token and incarnation match. Returns whether they do.
+    fn carry_out(&self, state: &mut AgentState, direct: &DirectCommands) -> bool {
+        let accepted = direct.token >= state.token && direct.incarnation == state.incarnation;
+        if accepted && !self.is_terminated() {
+            state.token = direct.token;
+            self.apply_commands(state, &direct.commands);
+        }
+        accepted
+    }
+
+    /// Lets the calls that have started forgotten tasks arrive once more.
+    fn copy_calls_of_forgotten_tasks(&self, state: &mut AgentState, commands: &[Command]) {
+        let is_forgotten = |command: &Command| {
+            let is_forget = |other: &&Command| matches!(other, Command::Forget { .. });
+            matches!(command, Command::Start { .. })
+                && (commands.iter().filter(is_forget))
+                    .any(|forget| forget.subject() == command.subject())
+        };
+        let (copied, kept) = (std::mem::take(&mut state.executed_calls).into_iter())
+            .partition(|call: &DirectCommands| call.commands.iter().any(is_forgotten));
+        state.executed_calls = kept;
+        for call in copied {
+            let tasks_before = state.tasks.len();
+            self.carry_out(state, &call);
+            let started = state.tasks.len().saturating_sub(tasks_before);
+            let copies = &self.shared.copied_calls;
+            copies.arrived.fetch_add(1, Ordering::SeqCst);
+            copies.started.fetch_add(started, Ordering::SeqCst);
+        }
+    }
+
     /// Carries out and answers the commands that are sent to the agent's own address, until the machine is terminated.
     fn serve_commands(&self, server: &Server) {
         while !self.is_terminated() {
@@ -227,10 +272,9 @@
             }
             let direct: DirectCommands = serde_json::from_str(&body).expect("commands");
             let mut state = self.lock_state();
-            let accepted = direct.token >= state.token && direct.incarnation == state.incarnation;
-            if accepted && !self.is_terminated() {
-                state.token = direct.token;
-                self.apply_commands(&mut state, &direct.commands);
+            let accepted = self.carry_out(&mut state, &direct);
+            if accepted {
+                state.executed_calls.push(direct);
             }
             let report = serde_json::to_string(&self.report(&mut state)).expect("JSON");
             drop(state);
@@ -292,6 +336,7 @@
             state.token = reply.token;
             state.lease_start = state.lease_start.max(sent);
             self.apply_commands(&mut state, &reply.commands);
+            self.copy_calls_of_forgotten_tasks(&mut state, &reply.commands);
         }
         ReportOutcome::Answered
     }
--- a/crates/controller/tests/loopback/costs.rs
+++ b/crates/controller/tests/loopback/costs.rs
@@ -1,7 +1,7 @@
 //! Measures the processor time by thread, the wake-ups and the memory of the controllers under an ordinary load. It
 //! checks no bounds, so it is run by hand; `docs/measuring.md` has the command.
 
-use crate::agents::Shared;
+use crate::agents::{CopiedCalls, Shared};
 use crate::controller::{start_all, Controller, Deployment};
 use crate::history::History;
 use crate::stand_ins::ExternalServices;
@@ -168,6 +168,7 @@
         jobs: Mutex::new(specs.iter().map(|s| (s.id.clone(), s.clone())).collect()),
         controllers: Mutex::default(),
         task_duration: Duration::from_secs(600),
+        copied_calls: CopiedCalls::default(),
     });
     let services = ExternalServices::start(CONTROLLERS, MACHINES, shared.clone());
     let deployment = Deployment {
--- a/crates/controller/tests/loopback/fleet.rs
+++ b/crates/controller/tests/loopback/fleet.rs
@@ -1,6 +1,6 @@
 //! Tests of a controller to which all agents of a large fleet connect at the same time.
 
-use crate::agents::Shared;
+use crate::agents::{CopiedCalls, Shared};
 use crate::controller::{start_all, Controller, Deployment};
 use crate::history::History;
 use crate::stand_ins::ExternalServices;
@@ -93,6 +93,7 @@
         jobs: Mutex::default(),
         controllers: Mutex::default(),
         task_duration: Duration::from_secs(1),
+        copied_calls: CopiedCalls::default(),
     });
     let services = ExternalServices::start(1, 0, shared);
     let deployment = Deployment {
--- a/crates/controller/tests/loopback/team_limits.rs
+++ b/crates/controller/tests/loopback/team_limits.rs
@@ -3,7 +3,7 @@
 //! Three controllers receive a burst of submissions at once. The check is of what the agents ran: at no instant may a
 //! team's tasks use more than its limit, and no task may run on two machines.
 
-use crate::agents::Shared;
+use crate::agents::{CopiedCalls, Shared};
 use crate::controller::{start_all, Controller, Deployment};
 use crate::history::{check, CheckedHistory, History};
 use crate::stand_ins::ExternalServices;
@@ -15,6 +15,7 @@
 use rudderreel_wire::job::JobSpec;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use ureq::Agent;
@@ -156,6 +157,10 @@
     done_ms: Histogram<u64>,
     /// Number of controllers that led at some moment at which the test read the leader.
     leaders: usize,
+    /// Number of copies of direct calls that reached agents after they had forgotten a task that the call started.
+    copied_calls: usize,
+    /// Number of tasks that such copies started.
+    started_by_copies: usize,
 }
 
 /// Injects one fault: the leader or any controller is paused, is killed and restarted, or is refused by the store.
@@ -185,8 +190,8 @@
     std::thread::sleep(Duration::from_millis(ms));
 }
 
-/// Runs a burst of submissions with faults that are drawn from a seed.
-fn run_seed(seed: u64) -> RunResult {
+/// Runs a burst of submissions with a number of faults, all drawn from a seed.
+fn run_seed(seed: u64, faults: usize) -> RunResult {
     let mut rng = StdRng::seed_from_u64(seed);
     let specs: Vec<JobSpec> = (0..JOBS).map(|n| spec(n, &mut rng)).collect();
     let jobs = specs.iter().map(|s| (s.id.clone(), s.clone())).collect();
@@ -195,6 +200,7 @@
         jobs: Mutex::new(jobs),
         controllers: Mutex::default(),
         task_duration: TASK_DURATION,
+        copied_calls: CopiedCalls::default(),
     });
     let services = ExternalServices::start(CONTROLLERS, MACHINES, shared.clone());
     let deployment = Deployment {
@@ -216,7 +222,7 @@
         })
         .collect();
     let mut leaders = std::collections::BTreeSet::new();
-    for _ in 0..FAULTS {
+    for _ in 0..faults {
         sleep_ms(rng.random_range(FAULT_PAUSE_MS));
         leaders.extend(services.leader());
         inject_fault(&mut rng, &mut controllers, &services);
@@ -236,16 +242,20 @@
         unfinished: took.iter().filter(|took| took.is_none()).count(),
         done_ms,
         leaders: leaders.len(),
+        copied_calls: shared.copied_calls.arrived.load(Ordering::SeqCst),
+        started_by_copies: shared.copied_calls.started.load(Ordering::SeqCst),
     }
 }
 
 /// Runs a seed, prints the result, and returns whether no rule was violated and all jobs were done.
 fn run_passes(seed: u64) -> bool {
-    let run = run_seed(seed);
+    let run = run_seed(seed, FAULTS);
     let peaks = TEAMS.map(|(team, _)| run.checked.peak_cpus(team));
     println!(
-        "seed {seed}: {} starts, peak CPUs {peaks:?}, {} leaders, {} unfinished, done after p50 {} p99 {} ms, {:?}",
+        "seed {seed}: {} starts, {} by {} copies of calls, peak CPUs {peaks:?}, {} leaders, {} unfinished, done after p50 {} p99 {} ms, {:?}",
         run.checked.starts,
+        run.started_by_copies,
+        run.copied_calls,
         run.leaders,
         run.unfinished,
         run.done_ms.value_at_quantile(0.5),
@@ -256,7 +266,7 @@
         run.checked.starts >= JOBS as usize,
         "the agents started fewer tasks than there are jobs"
     );
-    run.checked.violations.is_empty() && run.unfinished == 0
+    run.checked.violations.is_empty() && run.unfinished == 0 && run.started_by_copies == 0
 }
 
 /// Runs a range of seeds, several at a time, and returns those that failed.
@@ -282,6 +292,14 @@
     assert_eq!(failed_seeds(1..4, 3), Vec::<u64>::new());
 }
 
+#[test]
+fn copy_of_a_carried_out_start_does_not_run_a_forgotten_task_again() {
+    let run = run_seed(20, 0);
+    assert!(run.copied_calls > 0, "no start went by a direct call");
+    assert_eq!(run.started_by_copies, 0);
+    assert_eq!((run.checked.violations, run.unfinished), (vec![], 0));
+}
+
 /// Runs any range of seeds. The command is
 /// `SEEDS=100..1100 AT_A_TIME=8 cargo test --release -p rudderreel --test loopback many -- --ignored --nocapture`.
 #[test]
