Take a task for lost that its machine no longer reports, once its token is raised

What callers saw: replicas that never ran again, with their machine up. A machine came back under its name with its counters lost (incarnation 1, sequence number 0, no token). While its sequence numbers were lower than before, its reports counted as old; once they had caught up, the newer reports omitted the tasks, and nothing followed.

Cause: an omitted task is proven gone only by a later incarnation or a higher token, and the token was raised only for tasks that were to be stopped. The leader waited for ever for one that it took for running.

Evidence: `tasks_of_a_machine_that_lost_its_counters_run_again_and_never_in_two_places` failed with one of two replicas 60 s after the loss (3 nodes, few messages before). It also shows, for a machine that had sent 100,000 messages, that no task of it is started elsewhere before it is returned; that held before.

Fix: a task that was on the machine and that reports have omitted for 3 s asks for a higher token as well. The agent acknowledges it with its next report; if that omits the task too, it is lost, and no start of it is valid any more.

--- a/crates/core/src/dispatch/fencing.rs
+++ b/crates/core/src/dispatch/fencing.rs
@@ -6,14 +6,14 @@
 //! before an agent may forget an attempt, and before a start of unknown outcome is taken for lost, its token is raised.
 //! The answer with the higher token carries the command to forget; no acknowledgement has to be awaited.
 
-use crate::fleet::{Machine, PlacedTask};
+use crate::fleet::{Machine, Phase, PlacedTask};
 use crate::leader::Leader;
 use crate::leadership::fencing_tokens::TokenRange;
 use crate::units::{Span, Time};
 use rudderreel_wire::ids::{FencingToken, MachineId};
 
-/// Time for which reports may omit a task that is to be stopped. If they omit it for longer, a start of unknown outcome
-/// may be in flight for it.
+/// Time for which reports may omit a task that is to be stopped, or that was on the machine. If they omit it for longer,
+/// it is gone or a start may be in flight for it, which only a higher token decides.
 const MISSING_START_TIMEOUT: Span = Span(3_000);
 /// Minimum time between two bumps of the epoch.
 const MIN_EPOCH_BUMP_INTERVAL: Span = Span(5_000);
@@ -61,16 +61,16 @@
         && awaits_higher_token(machine, tokens.last, now)
 }
 
-/// Returns whether a start that the agent would carry out under its present token keeps a task from being forgotten or
-/// stopped.
+/// Returns whether a start that the agent would carry out under its present token keeps a task from being forgotten, or
+/// a missing one from being taken for lost.
 fn awaits_higher_token(machine: &Machine, token: FencingToken, now: Time) -> bool {
     let incarnation = machine.last_message.incarnation;
-    let cannot_be_stopped = |placed: &PlacedTask| {
-        placed.stop.is_some()
+    let is_missing = |placed: &PlacedTask| {
+        (placed.stop.is_some() || matches!(placed.phase, Phase::On(_)))
             && placed.start_sent.is_valid_at(token, incarnation)
             && (placed.missing_since).is_some_and(|since| now > since + MISSING_START_TIMEOUT)
     };
-    attempts_waiting(machine, token) > 0 || machine.tasks.iter().any(cannot_be_stopped)
+    attempts_waiting(machine, token) > 0 || machine.tasks.iter().any(is_missing)
 }
 
 /// Returns the number of attempts that the agent could forget if its token was higher.
--- a/crates/core/src/dispatch/fencing/tests.rs
+++ b/crates/core/src/dispatch/fencing/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::fleet::{Phase, StartSent, Stop, StopReason};
+use crate::fleet::{StartSent, Stop, StopReason};
 use crate::testing::{add_live_machine, add_running_task, job_of, leader, NOW};
 use rudderreel_wire::ids::{Attempt, Version};
 use rudderreel_wire::worker::{Cause, Command};
--- a/crates/core/tests/sim/copied_messages.rs
+++ b/crates/core/tests/sim/copied_messages.rs
@@ -234,6 +234,46 @@
     }
 }
 
+/// Time within which a machine that is not heard is returned, and its tasks run elsewhere.
+const REPLACED_WITHIN_MS: u64 = 60_000;
+
+/// Number of messages that an agent has sent before it loses its counters. After few of them its reports soon count as
+/// new again; after many it is not heard any more.
+const SENT_BEFORE: [u64; 2] = [0, 100_000];
+
+/// Each old copy matches the incarnation and token of such an agent, so nothing may rely on its reports.
+#[test]
+fn tasks_of_a_machine_that_lost_its_counters_run_again_and_never_in_two_places() {
+    for (nodes, spread) in CLUSTERS {
+        for sent_before in SENT_BEFORE {
+            println!("{nodes} nodes, {spread}, {sent_before} messages");
+            let (mut world, ids, _) = run_until_jobs_are_running(1_745, nodes, spread);
+            let machine = world.busy_machine().expect("a machine with tasks");
+            (world.agents.get_mut(&machine).expect("its agent")).skip_sequence_numbers(sent_before);
+            world.run_until(world.now + 5_000);
+            let now = world.now;
+            (world.agents.get_mut(&machine).expect("its agent")).lose_counters(now);
+            let on_others = |world: &World| {
+                (world.agents.iter())
+                    .filter(|(id, _)| **id != machine)
+                    .flat_map(|(_, agent)| agent.tasks.values())
+                    .filter(|task| task.on_machine())
+                    .count()
+            };
+            let left = on_others(&world);
+            while sent_before > 0 && world.agents.contains_key(&machine) {
+                assert_eq!(on_others(&world), left, "a task was started elsewhere");
+                assert!(world.now < now + REPLACED_WITHIN_MS, "it is not returned");
+                world.run_until(world.now + 1);
+            }
+            world.run_until(now + REPLACED_WITHIN_MS);
+            for id in &ids {
+                assert_eq!(world.on_machines(id), 2, "{id} runs again");
+            }
+        }
+    }
+}
+
 /// Number of short tasks that run on one machine, and the CPUs that each takes.
 const SHORT_TASKS: u32 = 1_500;
 const SHORT_TASK_CPUS: f64 = 0.1;
--- a/crates/core/tests/sim/world/agent.rs
+++ b/crates/core/tests/sim/world/agent.rs
@@ -111,6 +111,21 @@
         self.incarnation.0 += 1;
     }
 
+    /// Continues with higher sequence numbers, as if the agent had sent as many messages.
+    pub fn skip_sequence_numbers(&mut self, count: u64) {
+        self.seq += count;
+    }
+
+    /// Restarts the agent at once under the same machine id, without tasks and as if its machine was new: it has lost its
+    /// incarnation, its sequence number and the token that it had seen.
+    pub fn lose_counters(&mut self, now: u64) {
+        self.tasks.clear();
+        self.incarnation = Incarnation(1);
+        self.seq = 0;
+        self.token = FencingToken(0);
+        self.lease_start = now;
+    }
+
     /// Ends all tasks and begins the next incarnation if the lease, counted from the last answered report, has
     /// expired.
     pub fn expire(&mut self, now: u64, lease: u64) {
