--- a/crates/core/src/agents/reconciliation/tests.rs
+++ b/crates/core/src/agents/reconciliation/tests.rs
@@ -3,13 +3,31 @@
 use crate::testing::{add_live_machine, add_running_task, job, leader, running_task_report, NOW};
 use rudderreel_wire::ids::Attempt;
 use rudderreel_wire::ids::{Seq, Version};
-use rudderreel_wire::job::JobState;
+use rudderreel_wire::job::{JobSpec, JobState};
 use rudderreel_wire::worker::{Cause, TaskState};
 
 fn report(machine: &MachineId, seq: u64, task: &TaskId) -> StatusReport {
     running_task_report(machine, FencingToken(1), Seq(seq), task, Attempt(1))
 }
 
+/// Returns a cache in which a job is cancelled.
+fn cache_with_cancelled(spec: &JobSpec) -> JobCache {
+    let mut job_cache = JobCache::default();
+    let mut record = JobRecord::queued(spec, NOW.wall);
+    record.state = JobState::Cancelled;
+    job_cache.update_job(spec.id.clone(), Version(5), record);
+    job_cache
+}
+
+/// Returns the stop without grace of the attempt that the reports here list.
+fn stop_of(task: &TaskId) -> Command {
+    Command::Stop {
+        task: task.clone(),
+        attempt: Attempt(1),
+        grace_s: 0.0,
+    }
+}
+
 /// The answer to a late report renews the agent's lease, so an empty answer would keep cancelled tasks running.
 #[test]
 fn the_answer_to_a_late_report_stops_what_is_cancelled() {
@@ -17,20 +35,12 @@
     let id = add_live_machine(&mut leader, "vm-1", "a");
     let job = job(1, "sweep", "red", "normal");
     add_running_task(&mut leader, &job, 0, &id);
-    let mut job_cache = JobCache::default();
-    let mut record = JobRecord::queued(&job.spec, NOW.wall);
-    record.state = JobState::Cancelled;
-    job_cache.update_job(job.spec.id.clone(), Version(5), record);
+    let job_cache = cache_with_cancelled(&job.spec);
     let task = job.spec.id.task(0);
     let newest = leader.answer_report(&report(&id, 5, &task), &JobCache::default(), NOW);
     assert_eq!(newest.map(|reply| reply.commands), Some(vec![]));
-    let stop = Command::Stop {
-        task: task.clone(),
-        attempt: Attempt(1),
-        grace_s: 0.0,
-    };
     let late = leader.answer_report(&report(&id, 3, &task), &job_cache, NOW);
-    assert_eq!(late.map(|reply| reply.commands), Some(vec![stop]));
+    assert_eq!(late.map(|reply| reply.commands), Some(vec![stop_of(&task)]));
 }
 
 /// The leader's own records of the job may lag behind what the node knows, or take the task for gone.
@@ -42,18 +52,13 @@
     add_running_task(&mut leader, &job, 0, &id);
     let eviction = Stop::with_grace(StopReason::Preempted, 20.0, NOW.time);
     leader.stop_attempt_on(&id, &job.spec.id, Attempt(1), eviction);
-    let mut job_cache = JobCache::default();
-    let mut record = JobRecord::queued(&job.spec, NOW.wall);
-    record.state = JobState::Cancelled;
-    job_cache.update_job(job.spec.id.clone(), Version(5), record);
+    let job_cache = cache_with_cancelled(&job.spec);
     let task = job.spec.id.task(0);
-    let stop = Command::Stop {
-        task: task.clone(),
-        attempt: Attempt(1),
-        grace_s: 0.0,
-    };
     let answer = leader.answer_report(&report(&id, 5, &task), &job_cache, NOW);
-    assert_eq!(answer.map(|reply| reply.commands), Some(vec![stop]));
+    assert_eq!(
+        answer.map(|reply| reply.commands),
+        Some(vec![stop_of(&task)])
+    );
 }
 
 /// The entry of an attempt that had exited hid that the attempt was on the machine again: it was not stopped, took no
@@ -75,12 +80,10 @@
     let free_before = leader.fleet.machines[&id].free();
     assert!(!leader.jobs[&job_id].placements.contains_key(&0));
     let answer = leader.answer_report(&report(&id, 6, &task), &JobCache::default(), NOW);
-    let stop = Command::Stop {
-        task: task.clone(),
-        attempt: Attempt(1),
-        grace_s: 0.0,
-    };
-    assert_eq!(answer.map(|reply| reply.commands), Some(vec![stop]));
+    assert_eq!(
+        answer.map(|reply| reply.commands),
+        Some(vec![stop_of(&task)])
+    );
     let mut free = leader.fleet.machines[&id].free();
     free += job.need;
     assert_eq!(free, free_before);
