A start that the agent ignores is no start of a cancelled task in the world's check

Traced: a copy of a call, under the agent's present token, names an attempt that the agent still reports as exited, so it has no effect (PROTOCOL: "no effect if the worker already has this task and attempt in any state"), and no task ran. The check took each start command that an agent accepts for a start; it takes those now that the agent does not know the attempt of, which are all that can start anything. Before there were copies such a call could not come.

Why the attempt was still there after 21 s is a fault of its own, not mended here: a task that completes just as its job is cancelled has no record left that would let the agent forget it (shown by a trial test of the leader: no command for it once the job is gone from the table).

--- a/crates/core/tests/sim/world/agent.rs
+++ b/crates/core/tests/sim/world/agent.rs
@@ -200,6 +200,13 @@
         completed
     }
 
+    /// Returns whether a command has any effect. A start has none if the agent knows the attempt in any state.
+    pub fn has_effect(&self, command: &Command) -> bool {
+        let (task, attempt) = command.subject();
+        let is_known = self.tasks.contains_key(&(task.clone(), attempt));
+        is_known != matches!(command, Command::Start { .. })
+    }
+
     /// Carries out a command.
     pub fn execute(&mut self, command: &Command, jobs: &BTreeMap<JobId, ObservedJob>, now: u64) {
         match command {
