Empty replies, present starts and the limit on direct starts are each made in one place

The reply without commands was built in two modules, and the token and incarnation of a start in three; both have one function now. Whether an agent accepts direct starts was counted again for each start of a call, and is counted once. The comment on the limit of 256 waiting attempts said "above" where the code says "from which on". Tests share the scripted scenario and the leader with a running task.

--- a/crates/core/src/agents/forwarded_reports.rs
+++ b/crates/core/src/agents/forwarded_reports.rs
@@ -26,23 +26,15 @@
         if is_whole {
             self.remember_forwarded_list(&report);
         }
+        // What a peer answers by itself if the leader names no commands.
+        let default_reply = StatusReportReply::without_commands(self.term.tokens().first);
         match answer {
-            Some(reply) if reply == self.reply_without_commands() => {
-                ForwardedAnswer::Answered(None)
-            }
+            Some(reply) if reply == default_reply => ForwardedAnswer::Answered(None),
             Some(reply) => ForwardedAnswer::Answered(Some(json(&reply))),
             None => ForwardedAnswer::Refused,
         }
     }
 
-    /// Returns the answer that a peer gives an agent if the leader names none.
-    fn reply_without_commands(&self) -> StatusReportReply {
-        StatusReportReply {
-            token: self.term.tokens().first,
-            commands: Vec::new(),
-        }
-    }
-
     /// Returns the agent's report, or the answer to the peer if the report can't be restored.
     fn restore_report(&self, forwarded: ForwardedReport) -> Result<StatusReport, ForwardedAnswer> {
         let id = MachineId::from(forwarded.machine.as_str());
--- a/crates/core/src/agents/reconciliation/tests.rs
+++ b/crates/core/src/agents/reconciliation/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::jobs::job::Job;
 use crate::store::records::JobRecord;
 use crate::testing::{add_live_machine, add_running_task, job, leader, running_task_report, NOW};
 use rudderreel_wire::ids::Attempt;
@@ -10,6 +11,15 @@
     running_task_report(machine, FencingToken(1), Seq(seq), task, Attempt(1))
 }
 
+/// Returns a leader, a machine, and the job whose first task runs there.
+fn leader_with_running_task() -> (Leader, MachineId, Job) {
+    let mut leader = leader();
+    let id = add_live_machine(&mut leader, "vm-1", "a");
+    let job = job(1, "sweep", "red", "normal");
+    add_running_task(&mut leader, &job, 0, &id);
+    (leader, id, job)
+}
+
 /// Returns a cache in which a job is cancelled.
 fn cache_with_cancelled(spec: &JobSpec) -> JobCache {
     let mut job_cache = JobCache::default();
@@ -31,10 +41,7 @@
 /// The answer to a late report renews the agent's lease, so an empty answer would keep cancelled tasks running.
 #[test]
 fn the_answer_to_a_late_report_stops_what_is_cancelled() {
-    let mut leader = leader();
-    let id = add_live_machine(&mut leader, "vm-1", "a");
-    let job = job(1, "sweep", "red", "normal");
-    add_running_task(&mut leader, &job, 0, &id);
+    let (mut leader, id, job) = leader_with_running_task();
     let job_cache = cache_with_cancelled(&job.spec);
     let task = job.spec.id.task(0);
     let newest = leader.answer_report(&report(&id, 5, &task), &JobCache::default(), NOW);
@@ -46,10 +53,7 @@
 /// The leader's own records of the job may lag behind what the node knows, or take the task for gone.
 #[test]
 fn the_answer_to_the_newest_report_stops_what_is_cancelled_whatever_is_recorded_of_the_machine() {
-    let mut leader = leader();
-    let id = add_live_machine(&mut leader, "vm-1", "a");
-    let job = job(1, "sweep", "red", "normal");
-    add_running_task(&mut leader, &job, 0, &id);
+    let (mut leader, id, job) = leader_with_running_task();
     let eviction = Stop::with_grace(StopReason::Preempted, 20.0, NOW.time);
     leader.stop_attempt_on(&id, &job.spec.id, Attempt(1), eviction);
     let job_cache = cache_with_cancelled(&job.spec);
@@ -65,10 +69,7 @@
 /// capacity, and its task could be started elsewhere.
 #[test]
 fn a_task_that_is_back_after_its_end_occupies_its_machine_and_is_stopped() {
-    let mut leader = leader();
-    let id = add_live_machine(&mut leader, "vm-1", "a");
-    let job = job(1, "sweep", "red", "normal");
-    add_running_task(&mut leader, &job, 0, &id);
+    let (mut leader, id, job) = leader_with_running_task();
     let (job_id, task) = (job.spec.id.clone(), job.spec.id.task(0));
     let exited = |seq| {
         let mut report = report(&id, seq, &task);
--- a/crates/core/src/agents/report_forwarding.rs
+++ b/crates/core/src/agents/report_forwarding.rs
@@ -249,7 +249,7 @@
         let body = match answer {
             ForwardedAnswer::Answered(commands) => {
                 self.remember_applied(&held);
-                Some(commands.unwrap_or_else(|| no_commands(token)))
+                Some(commands.unwrap_or_else(|| json(&StatusReportReply::without_commands(token))))
             }
             ForwardedAnswer::Whole if !held.must_be_whole => {
                 held.must_be_whole = true;
@@ -281,14 +281,6 @@
     }
 }
 
-/// Returns the body of an answer without commands.
-fn no_commands(token: FencingToken) -> String {
-    json(&StatusReportReply {
-        token,
-        commands: Vec::new(),
-    })
-}
-
 /// Returns the approximate size of a report in a message, in bytes.
 fn estimated_bytes(report: &ForwardedReport) -> usize {
     let list = match &report.tasks {
--- a/crates/core/src/agents/task_outcomes.rs
+++ b/crates/core/src/agents/task_outcomes.rs
@@ -5,10 +5,10 @@
 //! log has committed it; other outcomes need no record. A gang that lost a task continues only as a whole, with a
 //! new attempt.
 
-use crate::fleet::{Phase, PlacedTask, StartSent, Stop, StopReason, TaskExit};
+use crate::fleet::{Phase, PlacedTask, Stop, StopReason, TaskExit};
 use crate::leader::Leader;
 use crate::units::{Now, Span, Time};
-use rudderreel_wire::ids::{Attempt, Incarnation, JobId, MachineId, TaskId};
+use rudderreel_wire::ids::{Attempt, JobId, MachineId, TaskId};
 use rudderreel_wire::job::Kind;
 use rudderreel_wire::worker::{Cause, TaskState, TaskStatus};
 
@@ -173,11 +173,12 @@
             status.attempt,
             status.state
         );
-        let start = self.present_start(machine);
-        let placed = (self.fleet.machines.get_mut(machine))
-            .and_then(|machine| machine.task_mut(&status.task, status.attempt));
-        if let Some(placed) = placed {
-            (placed.start_sent, placed.direct_start) = (start, Some(start));
+        let tokens = self.term.tokens();
+        if let Some(machine) = self.fleet.machines.get_mut(machine) {
+            let start = machine.present_start(tokens);
+            if let Some(placed) = machine.task_mut(&status.task, status.attempt) {
+                placed.count_as_sent_directly(start);
+            }
         }
         if let Some(job) = self.jobs.get_mut(&status.task.job) {
             job.place(status.task.index, machine, status.attempt);
@@ -185,24 +186,15 @@
         self.placement_log.mark_unrecorded();
     }
 
-    /// Returns the token and incarnation of a start that the agent of a machine would carry out now.
-    fn present_start(&self, id: &MachineId) -> StartSent {
-        let machine = self.fleet.machines.get(id);
-        let tokens = self.term.tokens();
-        StartSent {
-            token: machine.map_or(tokens.first, |machine| machine.command_token(tokens)),
-            incarnation: machine.map_or(Incarnation(0), |machine| machine.last_message.incarnation),
-        }
-    }
-
     /// Adopts a task that an agent reports and the leader did not place there: a late start, or one whose record was
     /// dropped. The task occupies capacity until it is stopped.
     pub(super) fn adopt_unknown_task(&mut self, machine: &MachineId, status: TaskStatus, now: Now) {
         let spec = (self.jobs.get(&status.task.job)).map(|job| job.spec.clone());
         let mut placed = PlacedTask::planned(status.task.clone(), status.attempt, spec, now.time);
-        // How its start was sent is not known, so it counts as sent by a direct call under the present token.
-        placed.start_sent = self.present_start(machine);
-        placed.direct_start = Some(placed.start_sent);
+        let tokens = self.term.tokens();
+        if let Some(machine) = self.fleet.machines.get(machine) {
+            placed.count_as_sent_directly(machine.present_start(tokens));
+        }
         let exit = (status.state == TaskState::Exited).then(|| TaskExit {
             task: status.task.clone(),
             attempt: status.attempt,
--- a/crates/core/src/dispatch/commands.rs
+++ b/crates/core/src/dispatch/commands.rs
@@ -1,7 +1,7 @@
 //! The commands for a machine: which tasks its agent has to stop, may start and may forget.
 
 use super::team_usage::TeamUsage;
-use crate::fleet::{Machine, Phase, PlacedTask, StartSent};
+use crate::fleet::{Machine, Phase, PlacedTask};
 use crate::leader::Leader;
 use crate::units::Time;
 use rudderreel_wire::ids::MachineId;
@@ -45,10 +45,13 @@
         let Some(machine) = self.fleet.machines.get(id) else {
             return Vec::new();
         };
+        let accepts_starts =
+            delivery == Delivery::ReportAnswer || self.accepts_direct_starts(machine);
         let mut commands = Vec::new();
         for placed in &machine.tasks {
             match self.command_for(machine, placed, usage, delivery, now) {
                 Some(stop @ Command::Stop { .. }) => commands.insert(0, stop),
+                Some(Command::Start { .. }) if !accepts_starts => {}
                 other => commands.extend(other),
             }
         }
@@ -119,15 +122,14 @@
     /// Returns whether a start of a task has to be sent, or repeated because no report shows the task. A direct call
     /// sends it only once under a token: if that start is lost, the answer to the next report repeats it.
     fn awaits_start(&self, machine: &Machine, placed: &PlacedTask, delivery: Delivery) -> bool {
-        let is_due = match placed.phase {
+        match placed.phase {
             Phase::Planned => true,
             Phase::Sent => {
                 let token = machine.command_token(self.term.tokens());
                 delivery == Delivery::ReportAnswer || placed.start_sent.token < token
             }
             Phase::On(_) | Phase::Exited(_) => false,
-        };
-        is_due && (delivery == Delivery::ReportAnswer || self.accepts_direct_starts(machine))
+        }
     }
 
     /// Records on the placed tasks which starts are being sent, under which token and to which incarnation.
@@ -136,10 +138,7 @@
         let Some(machine) = self.fleet.machines.get_mut(id) else {
             return;
         };
-        let start_sent = StartSent {
-            token: machine.command_token(tokens),
-            incarnation: machine.last_message.incarnation,
-        };
+        let start_sent = machine.present_start(tokens);
         for command in commands {
             let Command::Start { task, attempt } = command else {
                 continue;
--- a/crates/core/src/dispatch/fencing.rs
+++ b/crates/core/src/dispatch/fencing.rs
@@ -20,7 +20,7 @@
 /// Number of attempts of a machine that may wait to be forgotten until an open call to its agent has ended. A raised
 /// token makes the agent refuse the call.
 const MAX_ATTEMPTS_WAITING_FOR_CALL: usize = 64;
-/// Number of attempts of a machine that wait to be forgotten above which its agent gets no start by a direct call.
+/// Number of attempts of a machine that wait to be forgotten from which on its agent gets no start by a direct call.
 /// Each takes up to 110 bytes of a report, which has at most 64 KiB.
 const MAX_ATTEMPTS_WAITING: usize = 256;
 
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -13,7 +13,7 @@
 //!    answered lately.
 
 use super::blame::JobFailure;
-use super::placed_task::{Phase, PlacedTask, TaskChange};
+use super::placed_task::{Phase, PlacedTask, StartSent, TaskChange};
 use super::reasons::RetireReason;
 use super::report_order::{MessageOrder, ReportedTasks};
 use crate::leadership::fencing_tokens::TokenRange;
@@ -160,6 +160,14 @@
         (self.tasks.iter()).any(|task| task.phase == Phase::Planned && task.is_non_preemptible())
     }
 
+    /// Returns the token and incarnation that a start has now, in the term with these tokens.
+    pub fn present_start(&self, tokens: TokenRange) -> StartSent {
+        StartSent {
+            token: self.command_token(tokens),
+            incarnation: self.last_message.incarnation,
+        }
+    }
+
     /// Returns the free capacity. The capacity of a task that may still be on the machine is never counted as free, and
     /// nothing is free while a task whose resource needs are unknown may be on the machine.
     pub fn free(&self) -> Resources {
--- a/crates/core/src/fleet/placed_task.rs
+++ b/crates/core/src/fleet/placed_task.rs
@@ -1,8 +1,8 @@
 //! A task on a machine, as far as the leader knows, and what status reports show of it.
 //!
-//! The phase of an attempt goes on: `Planned` (decided), `Sent` (a start may be in flight or carried out), `On`
-//! (reported), `Exited` (reported as ended, or shown to be gone). It goes back only if an agent that has forgotten the
-//! attempt reports it as on the machine again. The attempt occupies capacity unless it is `Exited`. The entry of an
+//! The phases of an attempt follow each other: `Planned` (decided), `Sent` (a start may be in flight or carried out),
+//! `On` (reported), `Exited` (reported as ended, or shown to be gone). An attempt goes back to `On` only if an agent
+//! that has forgotten it reports it as on the machine again. The attempt occupies capacity unless it is `Exited`. The entry of an
 //! exited attempt is kept until its agent may forget the attempt (see [`PlacedTask::may_forget`]).
 
 use super::reasons::StopReason;
@@ -210,6 +210,12 @@
         requested.grace_s = requested.grace_s.min(stop.grace_s);
     }
 
+    /// Records that the start of the attempt counts as sent by a direct call, since how it was sent is not known.
+    pub fn count_as_sent_directly(&mut self, start: StartSent) {
+        self.start_sent = start;
+        self.direct_start = Some(start);
+    }
+
     /// Returns whether the attempt has ended, and its agent's reports of it are not needed any more.
     pub fn awaits_forgetting(&self) -> bool {
         self.has_exited() && self.outcome_recorded
--- a/crates/core/tests/sim/cancellations_in_outages.rs
+++ b/crates/core/tests/sim/cancellations_in_outages.rs
@@ -22,21 +22,25 @@
     serde_json::from_value(value).expect("a job")
 }
 
-/// Returns a world in which three jobs of two replicas each run, their ids, and the leader.
-pub fn run_until_jobs_are_running(
-    seed: u64,
-    nodes: usize,
-    spread: bool,
-) -> (World, Vec<JobId>, usize) {
-    let scenario = Scenario {
+/// Returns a scenario in which users do only what the test makes them do.
+pub fn scripted_scenario(nodes: usize, spread: bool) -> Scenario {
+    Scenario {
         nodes,
         spread,
         scripted: true,
         // As in the deployments: an agent gets an answer within a lease, whichever nodes it tries.
         lease_s: if nodes > 3 { 12 } else { 6 },
         ..Scenario::default()
-    };
-    let mut world = World::with_scenario(seed, scenario);
+    }
+}
+
+/// Returns a world in which three jobs of two replicas each run, their ids, and the leader.
+pub fn run_until_jobs_are_running(
+    seed: u64,
+    nodes: usize,
+    spread: bool,
+) -> (World, Vec<JobId>, usize) {
+    let mut world = World::with_scenario(seed, scripted_scenario(nodes, spread));
     world.run_until(16_000);
     let specs: Vec<JobSpec> = (1..4).map(|n| replicas(n, 2)).collect();
     let ids: Vec<JobId> = specs.iter().map(|s| s.id.clone()).collect();
--- a/crates/core/tests/sim/copied_messages.rs
+++ b/crates/core/tests/sim/copied_messages.rs
@@ -1,7 +1,7 @@
 //! Messages that were carried out and answered arrive once more: start commands above all, which an agent carries out
 //! as long as token and incarnation match.
 
-use super::cancellations_in_outages::{replicas, run_until_jobs_are_running};
+use super::cancellations_in_outages::{replicas, run_until_jobs_are_running, scripted_scenario};
 use super::run_with_random_faults;
 use super::world::{Scenario, UserAction, World};
 use rudderreel_core::AdminRequest;
@@ -146,13 +146,9 @@
 /// machine has room for them again.
 fn run_until_evicted_tasks_run_elsewhere(seed: u64, nodes: usize, spread: bool) -> (World, JobId) {
     let scenario = Scenario {
-        nodes,
-        spread,
-        scripted: true,
         machines: 3,
-        lease_s: if nodes > 3 { 12 } else { 6 },
         run_ms: Some((LONG_RUN_MS, 0)),
-        ..Scenario::default()
+        ..scripted_scenario(nodes, spread)
     };
     let long = |spec: JobSpec| JobSpec {
         estimate_s: LONG_RUN_MS as f64 / 1e3,
@@ -287,13 +283,9 @@
 fn thousands_of_short_tasks_on_one_machine_make_no_report_too_long() {
     for (nodes, spread) in CLUSTERS {
         let scenario = Scenario {
-            nodes,
-            spread,
-            scripted: true,
             machines: 1,
-            lease_s: if nodes > 3 { 12 } else { 6 },
             run_ms: Some((SHORT_RUN_MS, 0)),
-            ..Scenario::default()
+            ..scripted_scenario(nodes, spread)
         };
         let mut world = World::with_scenario(1_750, scenario);
         world.run_until(16_000);
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -173,6 +173,16 @@
     pub commands: Vec<Command>,
 }
 
+impl StatusReportReply {
+    /// Returns the answer without commands.
+    pub fn without_commands(token: FencingToken) -> Self {
+        Self {
+            token,
+            commands: Vec::new(),
+        }
+    }
+}
+
 /// The answer to a status report by a node that redirects the agent to another node.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ReportRedirect {
